Refuse classes by what they earn when the throttle acts

Ruled out: choose() does weigh classes (standing), but with 40 proxies it hardly acts: the logs of all 40 nodes say 'throttling', one says 'refusing: N servers'. The lines at fault are Balancer.shed, which drew one chance for all classes.

Demand keeps the work that arrives for each class. The share that the throttle lets through is filled in proportion to what a class earns, at most all of it, so the sum stays what the throttle says. It acts where the throttle does: many proxies to a server.

--- a/pepperrelay/balancer.py
+++ b/pepperrelay/balancer.py
@@ -159,10 +159,41 @@
         self.passing = min(max(self.passing, THROTTLE_LEAST), THROTTLE_SAVED)
 
     def shed(self) -> float:
-        """The share of arrivals to refuse now."""
+        """The share of the work asked for that is to be refused now."""
         return max(0.0, 1.0 - self.passing)
 
 
+class Demand:
+    """The work that arrives for each class, lately, and the part of each that fits into a share of it all."""
+
+    # Trouble: the throttle refused all classes alike, so what it left of the fleet went to the cheapest as
+    # readily as to the dearest, though the dear ones together would have had room.
+
+    def __init__(self, names: list[str]) -> None:
+        self.asked = dict.fromkeys(names, 0.0)
+        self.since_us = 0
+
+    def count(self, name: str, work: float, now_us: int) -> None:
+        fade = math.exp((self.since_us - now_us) / THROTTLE_MEMORY_US)
+        for other in self.asked:
+            self.asked[other] *= fade
+        self.asked[name] += work
+        self.since_us = now_us
+
+    def passing(self, name: str, share: float, earns: dict[str, float]) -> float:
+        """How much of a class to let through: in proportion to what it earns for its work, at most all."""
+        room = share * sum(self.asked.values())
+        claims = sum(earns[other] * asked for other, asked in self.asked.items())
+        for dear in sorted(earns, key=lambda other: -earns[other]):
+            if not claims or room * earns[dear] < claims:
+                break  # not all of this one fits, so it and the cheaper ones share what is left
+            if dear == name:
+                return 1.0
+            room -= self.asked[dear]
+            claims -= earns[dear] * self.asked[dear]
+        return min(1.0, max(room, 0.0) * earns[name] / claims) if claims > 0 else 1.0
+
+
 class Attempt:
     __slots__ = ("ended", "entry", "never_ran", "sent_us", "server", "streaming")
 
@@ -289,6 +320,8 @@
         self.fleet_pace_us = 0.0
         self.crowd_us = math.inf
         self.spread = 1.0
+        self.demand = Demand([kind.name for kind in settings.classes])
+        self.earns = {kind.name: 1.0 for kind in settings.classes}
         self.standing = {kind.name: 1.0 for kind in settings.classes}
         # What was learned of keys, now and in the span before: most keys never come again.
         self.met: dict[str, dict[str, int]] = {}  # when a server last answered for a key
@@ -445,18 +478,21 @@
             self.budget.earn(RETRY_SHARE)
         if event.hint_us:
             self.hints[kind.name] = smooth(self.hints.get(kind.name), event.hint_us, 0.02)
-        if self.sharers >= MANY_SHARE and self.shed(event.tenant or ""):
+        work_us = self.hints.get(kind.name) or self.percentiles[kind.name].above(QUICK_SHARE) or 1.0
+        self.demand.count(kind.name, work_us, self.now_us)
+        if self.sharers >= MANY_SHARE and self.shed(event.tenant or "", kind.name):
             return self.end(request)
         self.try_send(request)
 
-    def shed(self, tenant: str) -> bool:
+    def shed(self, tenant: str, kind: str) -> bool:
         """Whether to refuse at the door: over its tenant's share while strained, else by the throttle."""
         share = self.shares.get(tenant)
         # Trouble: one tenant's burst must not cost the others; what is over its share goes first.
         if share is not None and not share.spend(self.now_us) and self.throttle.passing < STRAINED:
             self.log("refusing what is over a tenant's share, answers come late", "share")
             return True
-        if self.chance.random() >= self.throttle.shed():
+        passing = self.demand.passing(kind, 1.0 - self.throttle.shed(), self.earns)
+        if self.chance.random() < passing:
             return False
         self.log(f"throttling: {self.throttle.shed():.0%} refused, answers come late", "throttle")
         return True
@@ -721,7 +757,8 @@
             if quick_us:  # a class not yet answered gives way to none, and none to it
                 earns[name] = kind.worth / (1.0 if self.settings.worth_by_work else quick_us)
         most = max(earns.values(), default=0.0) or 1.0
-        self.standing = {name: max(earns.get(name, most) / most, 0.01) ** GIVE_WAY for name in self.kinds}
+        self.earns = {name: max(earns.get(name, most) / most, 0.01) for name in self.kinds}
+        self.standing = {name: earned ** GIVE_WAY for name, earned in self.earns.items()}
 
     def warmth(self, server: Server) -> float:
         """Share of its full capacity that a started server can be counted on to have."""
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -86,6 +86,44 @@
     assert throttle.shed() > 0.4
 
 
+def test_a_throttle_refuses_the_cheap_before_the_dear() -> None:
+    """Seen on join+vast: with half of the servers cold, payments were refused as readily as map views."""
+    kinds = tuple(pr.RequestClass(name, pr.Repeat.SAFE, 500 * MS, S, worth=worth)
+                  for name, worth in (("map", 1.0), ("profile", 5.0), ("payment", 10.0)))
+    d = Driver(settings(proxies=200, classes=kinds, worth_by_work=True))
+    d.members(*(entry(f"s{i}") for i in range(10)), scope=pr.ListScope.SAVED)
+
+    def play(rounds: int) -> dict[str, int]:
+        sent = dict.fromkeys((kind.name for kind in kinds), 0)
+        for _ in range(rounds):
+            for kind in kinds:
+                name = d.arrive(kind, hint_us=50 * MS)
+                d.pass_time(5 * MS)
+                if d.sends(name):
+                    sent[kind.name] += 1
+                    d.end(name, pr.Ending.OK)
+        return sent
+
+    assert set(play(100).values()) == {100}
+    d.balancer.throttle.passing = 0.5
+    d.balancer.throttle.judged = 1e9  # so that it stays there
+    sent = play(400)
+    assert sent["payment"] > 350 and 100 < sent["profile"] < 260 and sent["map"] < 80
+    assert 500 < sum(sent.values()) < 700  # half of the work in all, as the throttle says
+
+
+def test_what_one_class_does_not_need_is_left_to_the_others() -> None:
+    demand = balancer.Demand(["cheap", "dear"])
+    earns = {"cheap": 0.1, "dear": 1.0}
+    for n in range(100):
+        demand.count("cheap" if n % 4 else "dear", 1.0, 1000 * n)
+    assert demand.passing("dear", 1.0, earns) == demand.passing("cheap", 1.0, earns) == 1.0
+    for share in (0.1, 0.25, 0.5, 0.9):
+        passed = {name: demand.passing(name, share, earns) * asked for name, asked in demand.asked.items()}
+        assert abs(sum(passed.values()) - share * sum(demand.asked.values())) < 1e-6
+        assert passed["dear"] / demand.asked["dear"] >= passed["cheap"] / demand.asked["cheap"]
+
+
 def test_throttle_opens_soon_after_a_burst() -> None:
     """Seen in ib51557: a throttle that counted its own refusals as bad stayed shut at half the load."""
     throttle = balancer.Throttle()
