Draw servers by capacity before the rank where many proxies share them

Ruled out: rule 4's own budget (a cold server was seldom considered at all, so its chance was not even drawn), connection caps (no refused connects) and stale reports of queues (they read 0 until the jam). The lines at fault are choose(), which ranks all servers: a server not heard from takes the mean, so the few that answered soonest always stand before it; and cold_room(), whose chance came on top.

Where many proxies share the servers a request now looks at a sample, drawn by capacity (warmth, reported service time, recent success, price of a crossing), and C3's rank decides among those. A cold server can only be the first draw, so a proxy sends it at most 1.5 times its part of present capacity. Few proxies look at all servers as before.

--- a/pepperrelay/balancer.py
+++ b/pepperrelay/balancer.py
@@ -81,6 +81,14 @@
 PROXIES_EACH = 40
 POOL_LEAST = 6
 POOL_AWAY = 1 / 3
+# Sampled rank: where many proxies share the servers a request looks at so many, drawn by capacity, for each
+# that a proxy would have to itself, and at least two. Reports move a server's weight by this factor at most.
+LOOKS = 12
+LEAST_LOOKS = 2
+SPEED_BOUND = 5.0
+# A cold server gets at most so many times its part, by present capacity, of what this proxy sends: zones
+# differ in traffic, and a fall takes more.
+COLD_OVER = 1.5
 # Warm keys: how long a server is taken to remember one, and the factors on the rank of one that has met the
 # key and of the one where the proxies meet.
 KEY_MEMORY_US = 5_000_000
@@ -300,6 +308,9 @@
         self.kinds = {kind.name: kind for kind in settings.classes}
         self.servers: dict[str, Server] = {}
         self.pool: list[Server] = []
+        self.reach: list[float] = []  # running sums of the weights by which the pool is drawn from
+        self.capacity = 0.0  # of the pool, in servers of the usual speed
+        self.drawn = ""  # the cold server that this request may go to
         self.sharers = 1.0  # proxies that use a server, on average
         self.requests: dict[str, Request] = {}
         self.percentiles = {kind.name: Percentile() for kind in settings.classes}
@@ -614,12 +625,68 @@
     # -- choice ------------------------------------------------------------------------------------------
 
     def choose(self, request: Request) -> Server | None:
+        """The best of all servers, or, where many proxies share them, of some drawn by capacity."""
+        self.drawn = ""
+        if self.sharers < MANY_SHARE:
+            return self.best(request, self.pool)
+        return self.best(request, self.draw(request)) or self.best(request, self.pool)
+
+    def draw(self, request: Request) -> list[Server]:
+        """Some servers, each by its capacity; a cold one only as the first draw and alone.
+
+        Trouble: with few answers from each server the ranks of 40 proxies hold little but old chance, and all
+        sent to the same ones; cold servers, unheard, ranked behind and stood idle while the warm ones jammed.
+        So the draw spreads by capacity, and the rank has only to tell the few drawn apart.
+        """
+        if not self.reach or self.reach[-1] <= 0.0:
+            return []
+        looks = max(LEAST_LOOKS, math.ceil(LOOKS * len(self.pool) / self.sharers))
+        drawn = self.chance.choices(self.pool, cum_weights=self.reach, k=looks)
+        first = drawn[0]
+        if self.warmth(first) < 1.0:
+            # Rule 4: no proxy sends to it more often than its part of all capacity allows.
+            often = self.capacity * self.nearness(first) / self.reach[-1]
+            if (not first.out and not self.left_out(request, first)
+                    and self.chance.random() * often < COLD_OVER):
+                self.drawn = first.entry.server
+                return [first]
+        return [s for s in dict.fromkeys(drawn) if self.warmth(s) >= 1.0 and not self.left_out(request, s)]
+
+    def left_out(self, request: Request, server: Server) -> bool:
+        """Tried before, or unwell and not due for a trial."""
+        return ((server.unwell and not self.due(server))
+                or any(attempt.server == server.entry.server for attempt in request.attempts))
+
+    def nearness(self, server: Server) -> float:
+        """The weight of a server's zone in the draw, by the price of a crossing."""
+        same = server.entry.zone == self.settings.zone
+        return 1.0 if same else 1.0 / (1.0 + CROSSING * self.settings.prices.cross_zone)
+
+    def capacity_of(self, server: Server) -> float:
+        """What a server can do now against one of the usual speed, as far as is known; less if it fails."""
+        warmth = self.warmth(server)
+        speed = 1.0
+        if warmth >= 1.0 and server.service_us:
+            speed = self.fleet_service_us / server.service_us
+        return warmth * min(max(speed, 1.0 / SPEED_BOUND), SPEED_BOUND) * server.success
+
+    def weigh(self) -> None:
+        """The weights by which servers are drawn, once a housekeeping."""
+        self.capacity = total = 0.0
+        self.reach = []
+        for server in self.pool:
+            capacity = self.capacity_of(server)
+            self.capacity += capacity
+            total += capacity * self.nearness(server)
+            self.reach.append(total)
+
+    def best(self, request: Request, pool: list[Server]) -> Server | None:
         """The lowest C3 rank that the guard lets through; a retry goes to another server."""
-        pool, kind = self.pool, request.kind
+        kind = request.kind
         if request.attempts and kind.repeat is Repeat.KEYED and kind.group is not it.Group.ALL:
             # The group that drops its repeats may lie outside, where ranks are not kept.
             pool = pool + [s for s in self.servers.values() if s not in pool]
-            for server in pool[len(self.pool):]:
+            for server in pool:
                 self.refresh(server)
         tried = [a.server for a in request.attempts]
         ranked = []
@@ -744,6 +811,7 @@
                 self.patience_us[name] = max(seen.above(FALSE_TIMEOUTS), PADDING * seen.above(0.5))
         for server in self.pool:
             self.refresh(server)
+        self.weigh()
         usual_us = max(p.above(0.5) for p in self.percentiles.values())
         self.crowd_us = CROWD * usual_us if usual_us else math.inf
         lost_us = LOST_TIMES * max(p.above(LOST_SHARE) for p in self.percentiles.values())
@@ -804,6 +872,8 @@
         # Trouble: one send for each of hundreds of proxies is more than the whole budget, and a proxy just
         # started knows no rates. While load is near capacity at most, a server's fair part of all traffic is
         # one in so many; the same fraction of each proxy's own, taken by chance, adds up to that.
+        if self.sharers >= MANY_SHARE:
+            return server.entry.server == self.drawn  # the draw has kept to its part
         part = COLD_MARGIN * self.settings.fall_multiple * share
         return server in self.pool and self.chance.random() < part / len(self.pool)
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -54,6 +54,42 @@
     assert arrivals > 3500 and 0 < sent <= budget
 
 
+def spread(many: list[pr.Balancer], count: int) -> dict[str, int]:
+    """How many of so many requests each server gets, all answered at once."""
+    sent: dict[str, int] = {}
+    now_us = 101 * S
+    for n in range(count):
+        now_us += MS
+        one, name = many[n % len(many)], f"r{n}"
+        for action in one.handle(now_us, pr.RequestArrived(name, "safe", now_us + S)):
+            if isinstance(action, pr.Send):
+                sent[action.server] = sent.get(action.server, 0) + 1
+                report = pr.Report(0.0, 10.0 * MS)
+                ended = pr.AttemptEnded(name, 0, action.server, pr.Ending.OK, 100, True, report)
+                one.handle(now_us + 100, ended)
+    return sent
+
+
+def test_cold_servers_carry_their_part_while_most_are_cold() -> None:
+    """Seen on join+vast: 36 of 60 servers were cold and got 2% of all requests; the warm ones jammed."""
+    warm = tuple(entry(f"w{i}") for i in range(24))
+    many = fleet(40, (*warm, *(entry(f"c{i}", started_us=100 * S) for i in range(36))))
+    sent = spread(many, 4000)
+    capacity = 24 + 36 * 0.2  # they start at a fifth, and warm up in ten seconds
+    cold = [sent.get(f"c{i}", 0) for i in range(36)]
+    assert 0.7 * 36 * 0.2 / capacity < sum(cold) / 4000 < 2.0 * 36 * 0.2 / capacity
+    assert max(cold) < 3.0 * 4000 / capacity * 0.45  # none near the fall, at three times its warmth of then
+
+
+def test_a_server_that_reports_slower_service_is_drawn_less() -> None:
+    one = fleet(40, tuple(entry(f"s{i}") for i in range(20)))[0]
+    for name, server in one.servers.items():
+        server.learn(pr.Report(0.0, (40.0 if name == "s0" else 10.0) * MS))
+    one.refresh_all()
+    drawn = one.capacity_of(one.servers["s0"]) / one.capacity_of(one.servers["s1"])
+    assert abs(drawn - 0.25) < 0.01
+
+
 def test_late_answers_throttle_and_prompt_ones_release() -> None:
     """Seen on lahore big-2: no proxy held more than an attempt or two, and queues grew until all was late."""
     d = Driver(settings(proxies=200))
