Let fourteen proxies use a server, not forty, so that each knows those it uses

Ruled out: idle connections retired too early. The line at fault is PROXIES_EACH = 40, which is no bound at all for 40 proxies.

The arcs that hundreds of proxies already use now begin at 14 proxies a server. Near servers still come first; all proxies together cover all servers. Requests look at twice as many of them (LOOKS 24), for the smaller set is better known.

--- a/pepperrelay/balancer.py
+++ b/pepperrelay/balancer.py
@@ -76,14 +76,14 @@
 # A crossing counts as so many requests in hand for each unit of its price (a share of worth). More would let
 # the zone decide in place of the load: at a price of 0.06 it is a little over one own request (3 proxies).
 CROSSING = 65.0
-# Working set: how many proxies may keep a connection to one server, the fewest servers that a proxy uses near
-# by, and the share of that number that it uses in other zones.
-PROXIES_EACH = 40
+# Working set: how many proxies may keep a connection to one server (of more, each would hear of it too seldom
+# to know it), the fewest servers that a proxy uses near by, and the share of that number that it uses away.
+PROXIES_EACH = 14
 POOL_LEAST = 6
 POOL_AWAY = 1 / 3
 # Sampled rank: where many proxies share the servers a request looks at so many, drawn by capacity, for each
 # that a proxy would have to itself, and at least two. Reports move a server's weight by this factor at most.
-LOOKS = 12
+LOOKS = 24
 LEAST_LOOKS = 2
 SPEED_BOUND = 5.0
 # A cold server gets at most so many times its part, by present capacity, of what this proxy sends: zones
