Cross zones as far as answers near by come later, where many proxies share servers

Zones differ in traffic and in servers.

The lines at fault are nearness() and refresh(): a crossing weighs 65 x its price in requests, whatever the own zone is like, and with a report of no queue that stands before everything but a request of one's own.

Crossing keeps the share of late answers near by and away. While near by is later by more than half the price of a crossing, the weight goes down, and back up as soon as it pays no more. The side that gets no answers fades, or it would never be tried again (the test found that).

--- a/pepperrelay/balancer.py
+++ b/pepperrelay/balancer.py
@@ -76,6 +76,13 @@
 # A crossing counts as so many requests in hand for each unit of its price (a share of worth). More would let
 # the zone decide in place of the load: at a price of 0.06 it is a little over one own request (3 proxies).
 CROSSING = 65.0
+# Where many proxies share the servers a crossing weighs less once it pays: when the share of late answers is
+# higher near by than away by this part of the price (one request more makes others late too). The weight of
+# the newest answer in those shares, and how far each moves the ease, times the gain.
+CROSSING_GAIN = 0.5
+CROSSING_NEWEST = 0.05
+CROSSING_STEP = 0.1
+CROSSING_FADES = 0.005  # what an answer from the one side takes from the other's share
 # Working set: how many proxies may keep a connection to one server (of more, each would hear of it too seldom
 # to know it), the fewest servers that a proxy uses near by, and the share of that number that it uses away.
 PROXIES_EACH = 14
@@ -202,6 +209,24 @@
         return min(1.0, max(room, 0.0) * earns[name] / claims) if claims > 0 else 1.0
 
 
+class Crossing:
+    """How freely requests leave their zone: as far as answers near by are later than away, past the price."""
+
+    # Trouble: one zone had three times the traffic for its servers that another had. Every proxy there saw
+    # answers come late and stayed, for a crossing was weighed by its price alone.
+
+    def __init__(self, price: float) -> None:
+        self.least_gain = CROSSING_GAIN * price
+        self.late = {True: 0.0, False: 0.0}  # the share of late answers near by, and away
+        self.ease = 0.0
+
+    def count(self, near: bool, late: bool) -> None:
+        self.late[near] = smooth(self.late[near], float(late), CROSSING_NEWEST)
+        self.late[not near] *= 1.0 - CROSSING_FADES  # or a side that is left would stay as it last was
+        gain = self.late[True] - self.late[False] - self.least_gain
+        self.ease = min(max(self.ease + CROSSING_STEP * gain, 0.0), 1.0)
+
+
 class Attempt:
     __slots__ = ("ended", "entry", "never_ran", "sent_us", "server", "streaming")
 
@@ -317,6 +342,7 @@
         self.hints: dict[str, float] = {}
         self.budget = TokenBucket(RETRY_BURST)
         self.throttle = Throttle()
+        self.crossing = Crossing(settings.prices.cross_zone)
         # This proxy's part of each tenant's share; one without a share has no bound.
         parts = {name: rate / settings.proxies for name, rate in settings.tenants.items() if rate}
         self.shares = {name: TokenBucket(SHARE_SAVED_S * part + SHARE_SLACK, part)
@@ -549,6 +575,9 @@
 
     def observe(self, request: Request, server: Server, event: it.AttemptEnded) -> None:
         server.learn(event.report)
+        late = event.latency_us > request.kind.aim_us
+        if self.sharers >= MANY_SHARE and (late or event.ending is Ending.OK):
+            self.crossing.count(server.entry.zone == self.settings.zone, late)
         if event.ending in (Ending.CANCELLED, Ending.MOOT):
             return
         ok = event.ending is Ending.OK
@@ -659,8 +688,13 @@
 
     def nearness(self, server: Server) -> float:
         """The weight of a server's zone in the draw, by the price of a crossing."""
-        same = server.entry.zone == self.settings.zone
-        return 1.0 if same else 1.0 / (1.0 + CROSSING * self.settings.prices.cross_zone)
+        return 1.0 / (1.0 + self.crossing_load(server))
+
+    def crossing_load(self, server: Server) -> float:
+        """What a crossing counts for, in requests in hand."""
+        if server.entry.zone == self.settings.zone:
+            return 0.0
+        return CROSSING * self.settings.prices.cross_zone * (1.0 - self.crossing.ease)
 
     def capacity_of(self, server: Server) -> float:
         """What a server can do now against one of the usual speed, as far as is known; less if it fails."""
@@ -795,8 +829,7 @@
         mu_us = self.fleet_service_us if server.service_us is None else server.service_us
         load = server.awaited(self.now_us, self.lost_us)[0] * self.settings.proxies + server.queue
         mu_us /= self.warmth(server)
-        if server.entry.zone != self.settings.zone:
-            load += CROSSING * self.settings.prices.cross_zone
+        load += self.crossing_load(server)
         server.rank = r_us - mu_us + (1.0 + load) ** 3 * mu_us
         server.unwell = server.success < WELL_SERVER
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -93,6 +93,34 @@
     assert max(cold) < 3.0 * 4000 / capacity * 0.45  # none near the fall, at three times its warmth of then
 
 
+def crossed(one: pr.Balancer, count: int, near_us: int) -> float:
+    """The share of so many requests that went to zone b, where answers are prompt, and not to zone a."""
+    away = 0
+    for n in range(count):
+        name, sent_us = f"r{one.now_us}", one.now_us + 40 * MS
+        for action in one.handle(sent_us, pr.RequestArrived(name, "safe", sent_us + S)):
+            if isinstance(action, pr.Send):
+                far = action.server.startswith("b")
+                away += far
+                took_us = 10 * MS if far else near_us
+                ended = pr.AttemptEnded(name, 0, action.server, pr.Ending.OK, took_us, True)
+                one.handle(sent_us + 10 * MS, ended)
+        if n % 5 == 0:
+            one.refresh_all()
+    return away / count
+
+
+def test_requests_cross_more_while_answers_near_by_come_late() -> None:
+    """Seen on zone+vast 3: 12 servers of one zone took 30 requests a second each, those of another 5."""
+    rows = tuple(entry(f"{zone}{i}", zone) for zone in "ab" for i in range(30))
+    one = fleet(40, rows, prices=pr.Prices(cross_zone=0.08))[0]
+    prompt = crossed(one, 300, 10 * MS)
+    late = crossed(one, 300, 600 * MS)
+    crossed(one, 1500, 10 * MS)
+    after = crossed(one, 300, 10 * MS)
+    assert prompt < 0.1 and late > 0.25 and after < 0.1
+
+
 def test_a_server_that_reports_slower_service_is_drawn_less() -> None:
     one = fleet(40, tuple(entry(f"s{i}") for i in range(20)))[0]
     for name, server in one.servers.items():
