Part the carrier and the dialect from the node, so that the gateway can use them

The gateway needs the frontend, the pool, the table of requests and the balancer with other header names and with several balancers.

--- a/mallowworks/frontend.py
+++ b/mallowworks/frontend.py
@@ -6,23 +6,17 @@
 import logging
 from http import HTTPStatus
 from itertools import islice
-from typing import cast
+from typing import Protocol, cast
 
-from mallowworks.http import Answer, readable
-from mallowworks.messages import BadRequest, Message, RequestReader, read_request
-from mallowworks.node import ANSWER_MARGIN_US, Node, Request
+from mallowworks.http import Answer, Limits, readable
+from mallowworks.messages import BadRequest, Message, RequestReader
 
 log = logging.getLogger(__name__)
 
 BACKLOG = 1024
 SWEEP_S = 0.2
-#: A client that has asked nothing, or has not sent its request whole, is cut off so long after its connect,
-#: or after that request began if it is not its first. Slow or silent ones must not hold the places of others.
-ASK_S = 2.0
 #: A client that does not read its answer is cut off.
 SLOW_S = 2.0
-#: A connection between requests is closed.
-IDLE_S = 10.0
 #: How long a connection that is closed on a client is read on, so that the answer is not lost to a reset.
 LINGER_S = 1.0
 #: At the bound one makes room that has waited for so long, in this order. So many of each are looked at, for
@@ -34,18 +28,39 @@
 ANSWERED_LEAST_S = 0.1
 #: A larger body is written beside its head: to put the two together would copy it once more.
 COPY_MOST = 32 * 1024
+#: Answers that have no body, and so no length either.
+BODILESS = frozenset({204, 304})
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 #: Connections in one state, with the time since when; longest first.
 Waiting = dict["ClientConnection", float]
 
 
+class Application(Protocol):
+    """What answers the requests that come in at a listening socket."""
+
+    loop: asyncio.AbstractEventLoop
+
+    def now_us(self) -> int: ...
+
+    def serve(self, message: Message, connection: ClientConnection) -> Answer | None:
+        """Take a whole message. None: the answer comes later, by the connection's `respond`.
+
+        Raises BadRequest for what can't be taken."""
+
+    def client_gone(self, name: str) -> None:
+        """The client of the request that `serve` has named on its connection has left."""
+
+    def can_serve(self) -> bool: ...
+
+
 class Frontend:
-    """The listening socket and all client connections."""
+    """A listening socket and all its client connections."""
 
-    def __init__(self, node: Node, most: int, overflow: int) -> None:
-        self.node = node
-        self.loop = node.loop
+    def __init__(self, app: Application, most: int, overflow: int, limits: Limits | None = None) -> None:
+        self.app = app
+        self.limits = limits or Limits()
+        self.loop = app.loop
         self.most = most
         self.overflow = overflow
         self.connections: set[ClientConnection] = set()
@@ -56,7 +71,6 @@
         self.closing: Waiting = {}
         self.stopping = False
         self.server: asyncio.Server | None = None
-        self.kinds = {kind.name: kind for kind in node.settings.classes}
 
     async def listen(self, host: str, port: int) -> None:
         self.server = await self.loop.create_server(lambda: ClientConnection(self), host, port,
@@ -64,7 +78,7 @@
         self.sweep()
 
     def ready(self) -> bool:
-        return not self.stopping and self.node.can_serve()
+        return not self.stopping and self.app.can_serve()
 
     def stop_accepting(self) -> None:
         """Last step but one of a stop: no new connections, and those that ask nothing close."""
@@ -100,13 +114,15 @@
         """Part with clients that hold a place and neither ask nor read."""
         self.loop.call_later(SWEEP_S, self.sweep)
         now_s = self.loop.time()
-        for waiting, most_s in ((self.silent, ASK_S), (self.idle, IDLE_S)):
+        limits = self.limits
+        for waiting, most_s in ((self.silent, limits.ask_s), (self.idle, limits.idle_s)):
             for connection, since_s in list(waiting.items()):
                 if now_s - since_s < most_s:
                     break
                 connection.part()
         for connection, since_s in list(self.partial.items()):
-            if now_s - since_s >= ASK_S:
+            in_body = connection.reader.headers_done
+            if now_s - since_s >= (limits.body_s if in_body else limits.ask_s):
                 connection.reject(BadRequest(408, "the request did not come whole in time"))
         for connection, since_s in list(self.idle.items()):
             if connection.unread and now_s - since_s >= SLOW_S:
@@ -115,21 +131,14 @@
             if now_s >= until_s:
                 connection.transport.abort()
 
-    def read(self, message: Message, connection: ClientConnection) -> Request:
-        """Check a message and make a request of it."""
-        arrived, head = read_request(message, self.kinds, ANSWER_MARGIN_US)
-        if self.node.knows(arrived.request):
-            raise BadRequest(400, f"Request-Id: {arrived.request} is still in hand")
-        return Request(arrived, head, message.body, connection.respond)
-
 
 class ClientConnection(asyncio.Protocol):
     def __init__(self, frontend: Frontend) -> None:
         self.frontend = frontend
-        self.node = frontend.node
-        self.reader = RequestReader(self.node.now_us, self.go_ahead)
+        self.app = frontend.app
+        self.reader = RequestReader(self.app.now_us, self.go_ahead, frontend.limits)
         self.current: Message | None = None  # the message that an answer is owed for
-        self.request: str | None = None  # and its request, once the node has taken it
+        self.request: str | None = None  # and its name, once the application has taken it
         self.closing = False
         self.admitted = True
         self.asked = False
@@ -155,7 +164,7 @@
         self.reader.close()
         if self.request is not None:
             request, self.request = self.request, None
-            self.node.client_gone(request)
+            self.app.client_gone(request)
 
     def wait_in(self, waiting: Waiting | None, since_s: float = 0.0) -> None:
         if self.waiting is not None:
@@ -193,6 +202,8 @@
         elif reader.partial and not was_partial:
             self.wait_in(self.frontend.partial,
                          self.frontend.loop.time() if self.asked else self.opened_s)
+        elif reader.headers_done and self.frontend.limits.body_renews:
+            self.wait_in(self.frontend.partial, self.frontend.loop.time())
 
     def go_ahead(self) -> None:
         if self.current is None and not self.reader.messages:
@@ -206,14 +217,7 @@
         self.asked = True
         self.wait_in(None)
         try:
-            if message.target.partition(b"?")[0] == b"/ready":
-                self.respond(self.ready(message.method))
-                return
-            if not self.admitted:
-                self.closing = True
-                self.respond(Answer(503))
-                return
-            request = self.frontend.read(message, self)
+            answer = self.app.serve(message, self)
         except BadRequest as err:
             log.debug("%d: %s", err.status, err)
             self.respond(plain(err))
@@ -223,13 +227,8 @@
             self.closing = True
             self.respond(Answer(500))
             return
-        self.request = request.arrived.request
-        self.node.take(request)
-
-    def ready(self, method: bytes) -> Answer:
-        if method not in (b"GET", b"HEAD"):
-            raise BadRequest(405, f"{method!r} for /ready", b"GET, HEAD")
-        return Answer(200 if self.frontend.ready() else 503)
+        if answer is not None:
+            self.respond(answer)
 
     def respond(self, answer: Answer) -> None:
         """Write the answer that is owed, in one piece, and go on to what came behind it."""
@@ -273,8 +272,10 @@
                 self.go_on()
 
     def write(self, answer: Answer, close: bool) -> None:
-        lines = [b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n"
-                 % (answer.status, REASONS.get(answer.status, b"-"), len(answer.body))]
+        lines = [b"HTTP/1.1 %d %s\r\n" % (answer.status, REASONS.get(answer.status, b"-"))]
+        if answer.status not in BODILESS:
+            length = len(answer.body) if answer.length is None else answer.length
+            lines.append(b"Content-Length: %d\r\n" % length)
         lines += [b"%s: %s\r\n" % header for header in answer.headers]
         lines.append(b"Connection: close\r\n\r\n" if close else b"\r\n")
         if len(answer.body) > COPY_MOST:
@@ -303,6 +304,13 @@
             self.transport.close()
 
 
+def readiness(connection: ClientConnection, method: bytes) -> Answer:
+    """Whether the node behind this connection's listening socket takes requests."""
+    if method not in (b"GET", b"HEAD"):
+        raise BadRequest(405, f"{method!r} for readiness", b"GET, HEAD")
+    return Answer(200 if connection.frontend.ready() else 503)
+
+
 def plain(error: BadRequest) -> Answer:
     headers = [(b"Content-Type", b"text/plain; charset=utf-8")]
     if error.allow:
--- a/mallowworks/http.py
+++ b/mallowworks/http.py
@@ -34,17 +34,44 @@
     """A message over the limits."""
 
 
+@dataclass(slots=True)
+class Limits:
+    """What a client may send, and for how long it may take or stay idle."""
+
+    head_bytes: int = MOST_HEAD
+    body_bytes: int = MOST_BODY
+    ask_s: float = 2.0
+    """For a request's head to come, from the connect or from its first byte."""
+    body_s: float = 2.0
+    """For the body; with `body_renews`, between two pieces of it."""
+    idle_s: float = 10.0
+    """Between requests."""
+    body_renews: bool = False
+
+
 @dataclass(slots=True)
 class Answer:
     status: int
     headers: Headers = field(default_factory=list)
     body: bytes = b""
+    length: int | None = None
+    """What a HEAD's answer says of the body that it leaves out."""
 
     def header(self, name: bytes) -> bytes | None:
         """The value of a header by its name in lower case."""
         return next((value for key, value in self.headers if key.lower() == name), None)
 
 
+def keep_alive_s(answer: Answer) -> int | None:
+    """How long the server keeps an idle connection, if its answer says so: `Keep-Alive: timeout=N`."""
+    value = answer.header(b"keep-alive")
+    for part in (value or b"").split(b","):
+        name, _, figure = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and figure.isdigit():
+            return int(figure)
+    return None
+
+
 class ResponseReader:
     """Reads answers one after another; `complete` is set once a whole one has come."""
 
@@ -57,8 +84,9 @@
         """Parser and reader refer to each other: taken apart they are freed at once, not by a collection."""
         self.parser = None
 
-    def reset(self) -> None:
-        """Ready for the next answer on the same connection."""
+    def reset(self, no_body: bool = False) -> None:
+        """Ready for the next answer on the same connection. With `no_body` its head is the whole of it."""
+        self.no_body = no_body
         self.complete = False
         self.keep_alive = False
         self.raw_bytes = 0
@@ -111,6 +139,12 @@
                 raise TooLarge("the answer is too large")
             if lower == b"transfer-encoding" and value.lower() != b"chunked":
                 raise ValueError(f"Transfer-Encoding {value!r} was not asked for")
+        assert self.parser is not None
+        if self.no_body and self.parser.get_status_code() >= 200:
+            self.complete = True  # the parser waits for a body: the connection is of no more use
+            self.answer = Answer(self.parser.get_status_code(), self.headers)
+            length = self.answer.header(b"content-length")
+            self.answer.length = int(length) if length is not None else 0
 
     def on_body(self, data: bytes) -> None:
         self.body += data
@@ -118,6 +152,8 @@
             raise TooLarge("the answer is too large")
 
     def on_message_complete(self) -> None:
+        if self.no_body and self.complete:
+            return
         assert self.parser is not None
         status = self.parser.get_status_code()
         if status < 200:  # an interim answer; the final one follows
--- a/mallowworks/messages.py
+++ b/mallowworks/messages.py
@@ -10,7 +10,8 @@
 
 import httptools
 
-from mallowworks.http import HOP_BY_HOP, MOST_BODY, MOST_FRAMED, MOST_HEAD
+from mallowworks.dialect import NODE, Dialect
+from mallowworks.http import MOST_FRAMED, Limits
 from pepperrelay.interface import Repeat, RequestArrived, RequestClass
 
 #: Requests sent ahead on a connection, before the answer to the first.
@@ -18,11 +19,6 @@
 TIMEOUT_FORM = re.compile(rb"([0-9]{1,10}(?:\.[0-9]{1,6})?)([mu])")
 PLAIN_KEY = re.compile(rb"k=[0-9A-Za-z_.~-]+")
 UNIT_US = {b"m": 1000.0, b"u": 1.0}
-#: Headers that are written anew for a server.
-NOT_PASSED_ON = HOP_BY_HOP | {b"request-timeout"}
-#: Headers that say what a request is. Given twice, node and server might each take another one for it; and a
-#: Connection header can't have them left out.
-ESSENTIAL = frozenset({b"request-id", b"idempotency-key", b"request-timeout", b"host", b"tenant"})
 
 
 class BadRequest(Exception):
@@ -51,7 +47,8 @@
     """Makes whole messages of the bytes from one client. The first error is the last word: where the next
     message would begin is not known any more, so nothing behind it is parsed or kept."""
 
-    def __init__(self, now_us: Callable[[], int], on_expect: Callable[[], None]) -> None:
+    def __init__(self, now_us: Callable[[], int], on_expect: Callable[[], None], limits: Limits) -> None:
+        self.limits = limits
         self.now_us = now_us
         self.on_expect = on_expect
         self.messages: deque[Message] = deque()
@@ -73,12 +70,15 @@
         except httptools.HttpParserError as err:
             self.error = self.error or BadRequest(400, f"malformed request: {err}")
         # Bytes are counted before they are parsed, for the parser itself keeps a line until it ends.
-        if self.partial and self.error is None and self.raw_bytes > MOST_HEAD + MOST_FRAMED * len(self.body):
+        if self.partial and self.error is None and self.raw_bytes > self.most_raw():
             self.error = (BadRequest(413, "the body is too large") if self.headers_done
                           else BadRequest(431, "the headers are too large"))
         if self.error is not None:
             self.close()
 
+    def most_raw(self) -> int:
+        return self.limits.head_bytes + MOST_FRAMED * len(self.body)
+
     def close(self) -> None:
         """Parser and reader refer to each other: taken apart they are freed at once, not by a collection."""
         self.parser = None
@@ -118,18 +118,18 @@
         for lower, name, value in self.headers:
             size += len(name) + len(value) + 4
             # Two or unequal lengths, and a length beside a coding, are errors of httptools' own.
-            if lower == b"content-length" and (len(value) > 18 or int(value) > MOST_BODY):
+            if lower == b"content-length" and (len(value) > 18 or int(value) > self.limits.body_bytes):
                 self.stop(BadRequest(413, "the body is too large"))
             if lower == b"transfer-encoding" and (version == "1.0" or value.strip().lower() != b"chunked"):
                 self.stop(BadRequest(501, "of all Transfer-Encodings only chunked is read"))
             if lower == b"expect" and value.lower() == b"100-continue":
                 self.on_expect()
-        if size > MOST_HEAD:
+        if size > self.limits.head_bytes:
             self.stop(BadRequest(431, "the headers are too large"))
 
     def on_body(self, data: bytes) -> None:
         self.body += data
-        if len(self.body) > MOST_BODY:
+        if len(self.body) > self.limits.body_bytes:
             self.stop(BadRequest(413, "the body is too large"))
 
     def on_message_complete(self) -> None:
@@ -172,27 +172,38 @@
     return kind
 
 
-def read_request(message: Message, kinds: dict[str, RequestClass],
-                 margin_us: int) -> tuple[RequestArrived, bytes]:
-    """Check a message. Returns what it asks, and its head as it goes on, all but Request-Timeout."""
-    kind = find_kind(message, kinds)
-    head = [b"%s %s HTTP/1.1\r\n" % (message.method, message.target)]
+def gather(message: Message, dialect: Dialect) -> tuple[dict[bytes, bytes], set[bytes]]:
+    """A message's headers by name, and the names that its Connection header would have left out."""
     found: dict[bytes, bytes] = {}
     named: set[bytes] = set()
     for lower, _, value in message.headers:
-        if lower in found and lower in ESSENTIAL:
+        if lower in found and lower in dialect.essential:
             raise BadRequest(400, f"{lower.decode('latin-1')} is given twice")
         found[lower] = value
         if lower == b"connection":
             named.update(part.strip().lower() for part in value.split(b","))
-    named -= ESSENTIAL
+    return found, named - dialect.essential
+
+
+def pass_on(message: Message, named: set[bytes], dialect: Dialect) -> bytes:
+    """A message's head as it goes to any server; what only one server gets comes behind it."""
+    head = [b"%s %s HTTP/1.1\r\n" % (message.method, message.target)]
     for lower, name, value in message.headers:
-        if lower not in NOT_PASSED_ON and lower not in named:
+        if lower not in dialect.not_passed_on and lower not in named:
             head.append(b"%s: %s\r\n" % (name, value))
-    if b"host" not in found:
-        head.append(b"Host: backend.local\r\n")
-    if message.method != b"GET":
+    if message.body or message.method not in (b"GET", b"HEAD"):
         head.append(b"Content-Length: %d\r\n" % len(message.body))
+    return b"".join(head)
+
+
+def read_request(message: Message, kinds: dict[str, RequestClass],
+                 margin_us: int) -> tuple[RequestArrived, bytes]:
+    """Check a message. Returns what it asks, and its head as it goes on, all but Request-Timeout."""
+    kind = find_kind(message, kinds)
+    found, named = gather(message, NODE)
+    head = pass_on(message, named, NODE)
+    if b"host" not in found:
+        head += b"Host: backend.local\r\n"
     ident = found.get(b"request-id", b"").decode("latin-1")
     if not ident or len(ident) > 128 or not ident.isprintable() or " " in ident:
         raise BadRequest(400, "Request-Id: a word is needed")
@@ -207,4 +218,4 @@
         request=ident, class_name=kind.name, give_up_at_us=message.came_us + timeout_us - margin_us,
         tenant=None if tenant is None else tenant.decode("latin-1"), key=key,
         hint_us=int(hint) if hint.isdigit() and len(hint) < 12 else None,
-        is_repeat=found.get(b"client-retry") == b"1"), b"".join(head)
+        is_repeat=found.get(b"client-retry") == b"1"), head
--- a/mallowworks/upstream.py
+++ b/mallowworks/upstream.py
@@ -15,8 +15,9 @@
 
 import httptools
 
+from mallowworks.dialect import NODE, Dialect
 from mallowworks.discovery import Address
-from mallowworks.http import Answer, ResponseReader, readable
+from mallowworks.http import MOST_ANSWER, Answer, ResponseReader, keep_alive_s, readable
 from pepperrelay.interface import Ending, Report
 
 log = logging.getLogger(__name__)
@@ -24,19 +25,19 @@
 #: Idle connections are retired after this share of the time at which the server would close them: a request
 #: written as the server closes is a reset, which may have run.
 IDLE_SHARE = 0.5
-#: The names of load figures on sockets, with those that the settings use.
-LOAD_NAMES = {"queue": "queue", "backlog": "queue", "inflight": "in_flight", "outstanding": "in_flight",
-              "util": "utilization", "utilization": "utilization", "latency_ms": "latency_ms",
-              "recent_ms": "latency_ms"}
+#: The same where the server itself said how long it keeps the connection.
+TOLD_SHARE = 0.8
 
 
 class Attempt:
     """One sending of a request to one server."""
 
-    __slots__ = ("connecting", "connection", "ended", "message", "number", "request", "sent_us", "server",
-                 "timer")
+    __slots__ = ("connecting", "connection", "ended", "message", "no_body", "number", "request", "sent_us",
+                 "server", "timer")
 
-    def __init__(self, request: str, number: int, server: str, message: bytes, sent_us: int) -> None:
+    def __init__(self, request: str, number: int, server: str, message: bytes, sent_us: int,
+                 no_body: bool = False) -> None:
+        self.no_body = no_body  # the answer to a HEAD has none, whatever its length says
         self.request = request
         self.number = number
         self.server = server
@@ -58,33 +59,6 @@
     idle: deque[ServerConnection]
 
 
-def read_report(text: bytes | None) -> Report | None:
-    """A load report such as `queue=2,util=0.61`. What can't be read is left out; it is only advice."""
-    if text is None:
-        return None
-    seen: dict[str, float] = {}
-    for pair in text.decode("latin-1").split(","):
-        name, _, figure = pair.partition("=")
-        known = LOAD_NAMES.get(name.strip())
-        try:
-            value = float(figure)
-        except ValueError:
-            continue
-        if known and 0 <= value < float("inf"):
-            seen[known] = value
-    service_ms = seen.get("latency_ms")
-    service_us = None if service_ms is None else service_ms * 1000.0
-    return Report(seen.get("queue"), service_us, seen.get("in_flight"), seen.get("utilization"))
-
-
-def judge(answer: Answer) -> Ending:
-    if answer.status == 200:
-        return Ending.OK
-    if answer.status in (503, 504) and answer.header(b"not-started") == b"1":
-        return Ending.FULL
-    return Ending.ERROR
-
-
 class ServerConnection(asyncio.Protocol):
     """One connection to a server, idle or with one attempt on it."""
 
@@ -96,7 +70,8 @@
         self.attempt: Attempt | None = None
         self.unwritten = False
         self.closed = False
-        self.reader = ResponseReader()
+        self.idle_s = upstream.idle_s
+        self.reader = ResponseReader(upstream.most_answer)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports do not derive from asyncio.Transport: a check of the type would fail.
@@ -119,7 +94,7 @@
     def send(self, attempt: Attempt) -> None:
         self.attempt = attempt
         attempt.connection = self
-        self.reader.reset()
+        self.reader.reset(no_body=attempt.no_body)
         self.transport.write(attempt.message)
 
     def data_received(self, data: bytes) -> None:
@@ -135,7 +110,10 @@
             return
         if self.reader.complete:
             answer = self.reader.answer
-            self.end(judge(answer), answer)
+            told_s = keep_alive_s(answer)
+            if told_s is not None:
+                self.idle_s = told_s * TOLD_SHARE
+            self.end(self.upstream.dialect.judge(answer), answer)
 
     def end(self, ending: Ending, answer: Answer | None = None) -> None:
         """Take the attempt off; only a whole answer to a whole request leaves the connection fit for more."""
@@ -168,7 +146,10 @@
     """All connections to servers. `on_end` gets each attempt once, with its ending."""
 
     def __init__(self, connect_timeout_us: int, idle_us: int, most: int, now_us: Callable[[], int],
-                 on_end: Callable[[Attempt, Ending, Answer | None, Report | None], None]) -> None:
+                 on_end: Callable[[Attempt, Ending, Answer | None, Report | None], None],
+                 dialect: Dialect = NODE, most_answer: int = MOST_ANSWER) -> None:
+        self.dialect = dialect
+        self.most_answer = most_answer
         self.loop = asyncio.get_running_loop()
         self.connect_timeout_s = connect_timeout_us / 1e6
         self.idle_s = idle_us / 1e6 * IDLE_SHARE
@@ -222,10 +203,10 @@
         if place is None or not place.open_to_new:
             self.end(attempt, Ending.CONNECT_FAILED)
             return
-        oldest_s = self.loop.time() - self.idle_s
+        now_s = self.loop.time()
         while place.idle:
             connection = place.idle.pop()
-            if connection.idle_since_s >= oldest_s and connection.quiet():
+            if now_s - connection.idle_since_s <= connection.idle_s and connection.quiet():
                 connection.send(attempt)
                 return
             connection.close()
@@ -292,7 +273,7 @@
         attempt.connection = None
         if attempt.timer is not None:
             attempt.timer.cancel()
-        report = None if answer is None else read_report(answer.header(b"server-load"))
+        report = None if answer is None else self.dialect.read_load(answer.header(self.dialect.load))
         self.on_end(attempt, ending, answer, report)
 
     # -- pool --------------------------------------------------------------------------------------------
@@ -315,9 +296,9 @@
 
     def sweep(self) -> None:
         """Retire connections that have been idle for long."""
-        oldest_s = self.loop.time() - self.idle_s
+        now_s = self.loop.time()
         for place in self.places.values():
-            while place.idle and place.idle[0].idle_since_s < oldest_s:
+            while place.idle and now_s - place.idle[0].idle_since_s > place.idle[0].idle_s:
                 place.idle[0].close()
 
     def close(self) -> None:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -9,9 +9,10 @@
 
 import pytest
 
+from mallowworks.dialect import read_report
 from mallowworks.discovery import read_list
 from mallowworks.http import MOST_ANSWER, Answer
-from mallowworks.upstream import Attempt, Upstream, read_report
+from mallowworks.upstream import Attempt, Upstream
 from pepperrelay.interface import Ending, Report
 from tests.loopback import LONG_AGO_MS, Rig, StubServer, listing, rig, row, run, soon
 
