--- /dev/null
+++ b/cypressbeam/chain.py
@@ -0,0 +1,256 @@
+"""One member of the chain that holds the configuration. Pure: frames and syncs in, actions out.
+
+Source: chain replication (van Renesse and Schneider, OSDI 2004). The head orders and compares bases, each member
+syncs before it passes on, the tail's sync commits. Every message carries the view's epoch; another one is refused.
+Invariants: no member passes on what it has not synced; nothing is published or answered 200 but by a tail that has
+synced it; numbers and revisions only rise; the head has at most one entry that is not committed.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cypressbeam import frames
+
+#: An entry that is not committed is sent down again after so long: the link may have broken.
+RESEND_S = 0.3
+#: Orders that may wait at the head; more are told to come back.
+MOST_WAITING = 64
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """The chain as its members agreed on it: addresses from head to tail."""
+
+    epoch: int
+    members: tuple[str, ...]
+
+    @property
+    def head(self) -> str:
+        return self.members[0]
+
+    @property
+    def tail(self) -> str:
+        return self.members[-1]
+
+    def next(self, ip: str) -> str | None:
+        at = self.members.index(ip) + 1
+        return self.members[at] if at < len(self.members) else None
+
+    def previous(self, ip: str) -> str | None:
+        at = self.members.index(ip)
+        return self.members[at - 1] if at else None
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    number: int
+    epoch: int
+    revision: int
+    base: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Sync:
+    """Put an entry on disk, then say so by `synced`."""
+
+    entry: Entry
+
+
+@dataclass(frozen=True, slots=True)
+class Tell:
+    ip: str
+    frame: frames.Frame
+
+
+@dataclass(frozen=True, slots=True)
+class Publish:
+    """A committed configuration: to the relays."""
+
+    entry: Entry
+
+
+Action = Sync | Tell | Publish
+
+
+@dataclass(slots=True)
+class Member:
+    """The state of one member. `check` returns a body's revision and raises ValueError if it is invalid."""
+
+    me: str
+    view: View
+    check: Callable[[bytes], int]
+    digest: Callable[[bytes], bytes]
+    last: Entry | None = None
+    """The newest entry on disk."""
+    taken: dict[int, bytes] = field(default_factory=dict)
+    """Digests of all entries on disk, by revision."""
+    committed: int = 0
+    """The number up to which this member knows entries to be committed."""
+    waiting: deque[frames.Order] = field(default_factory=deque)
+    syncing: Entry | None = None
+    asked: list[tuple[int, str]] = field(default_factory=list)
+    """Who is to be answered for the entry under way: ids of orders, and the nodes that took them."""
+    sent_s: float = 0.0
+
+    # -- what it is ----------------------------------------------------------------------------------------
+
+    @property
+    def number(self) -> int:
+        return self.last.number if self.last else 0
+
+    @property
+    def revision(self) -> int:
+        return self.last.revision if self.last else 0
+
+    def is_head(self) -> bool:
+        return self.view.head == self.me
+
+    def is_tail(self) -> bool:
+        return self.view.tail == self.me
+
+    def start(self, now_s: float) -> list[Action]:
+        """After a start with what was on disk: the tail's is committed, others ask for it by sending it again."""
+        if self.last is None:
+            return []
+        if self.is_tail():
+            self.committed = self.last.number
+            return [Publish(self.last)]
+        return self.send_down(now_s)
+
+    # -- orders, at the head -------------------------------------------------------------------------------
+
+    def order(self, order: frames.Order, now_s: float) -> list[Action]:
+        if not self.is_head():
+            return [Tell(self.view.head, order)]
+        if len(self.waiting) >= MOST_WAITING:
+            return [answer(order, 503, "too many orders wait")]
+        self.waiting.append(order)
+        return self.take_next(now_s)
+
+    def busy(self) -> bool:
+        return self.syncing is not None or self.number > self.committed
+
+    def take_next(self, now_s: float) -> list[Action]:
+        """Orders are decided one at a time, once what came before is committed: so a refusal for another version
+        never names one that is lost."""
+        actions: list[Action] = []
+        while self.waiting and self.is_head():
+            order = self.waiting[0]
+            if self.busy():
+                self.join_same()
+                break
+            self.waiting.popleft()
+            actions += self.decide(order, now_s)
+        return actions
+
+    def join_same(self) -> None:
+        """An order that was sent again while its first sending is under way gets the same answer."""
+        entry = self.syncing or self.last
+        if entry is None:
+            return
+        for order in [order for order in self.waiting if order.body == entry.body and order.base == entry.base]:
+            self.waiting.remove(order)
+            self.asked.append((order.ident, order.origin))
+
+    def decide(self, order: frames.Order, now_s: float) -> list[Action]:
+        try:
+            revision = self.check(order.body)
+        except ValueError as err:
+            return [answer(order, 400, str(err))]
+        if self.taken.get(revision) == self.digest(order.body):
+            return [answer(order, 200, "taken before")]
+        if order.base != self.revision:
+            return [answer(order, 412, f"the current version is {self.revision}")]
+        if revision <= self.revision:
+            return [answer(order, 400, f"revision {revision} is not above {self.revision}")]
+        self.asked = [(order.ident, order.origin)]
+        self.syncing = Entry(self.number + 1, self.view.epoch, revision, order.base, order.body)
+        return [Sync(self.syncing)]
+
+    # -- entries, down the chain ---------------------------------------------------------------------------
+
+    def forward(self, frame: frames.Forward, now_s: float) -> list[Action]:
+        if frame.epoch != self.view.epoch:
+            return []
+        if frame.number <= self.number:
+            return self.on_known(frame, now_s)
+        if self.syncing is not None or frame.number != self.number + 1:
+            return []  # it comes again
+        self.asked = [(frame.ident, frame.origin)] if frame.origin else []
+        self.syncing = Entry(frame.number, frame.epoch, frame.revision, frame.base, frame.body)
+        return [Sync(self.syncing)]
+
+    def on_known(self, frame: frames.Forward, now_s: float) -> list[Action]:
+        """An entry that is on this disk already: the word that it is committed may have been lost."""
+        previous = self.view.previous(self.me)
+        if self.committed >= frame.number and previous is not None:
+            return [Tell(previous, frames.Committed(self.view.epoch, self.committed))]
+        return self.send_down(now_s)
+
+    def synced(self, entry: Entry, now_s: float) -> list[Action]:
+        """The entry is on disk."""
+        self.syncing = None
+        self.last = entry
+        self.taken[entry.revision] = self.digest(entry.body)
+        if not self.is_tail():
+            return self.send_down(now_s)
+        self.committed = entry.number
+        actions: list[Action] = [Publish(entry)]
+        actions += [Tell(origin, frames.Outcome(ident, 200, "taken")) for ident, origin in self.asked]
+        self.asked = []
+        previous = self.view.previous(self.me)
+        if previous is not None:
+            actions.append(Tell(previous, frames.Committed(self.view.epoch, entry.number)))
+        return actions + self.take_next(now_s)
+
+    def failed(self, entry: Entry, now_s: float) -> list[Action]:
+        """The disk refused the entry: whoever asked is told to try again later."""
+        self.syncing = None
+        asked, self.asked = self.asked, []
+        return [Tell(origin, frames.Outcome(ident, 503, "the disk refuses")) for ident, origin in asked]
+
+    def send_down(self, now_s: float) -> list[Action]:
+        following = self.view.next(self.me)
+        if following is None or self.last is None or self.last.number <= self.committed:
+            return []
+        self.sent_s = now_s
+        ident, origin = self.asked[0] if self.asked else (0, "")
+        entry = self.last
+        return [Tell(following, frames.Forward(self.view.epoch, entry.number, entry.revision, entry.base,
+                                               entry.body, ident, origin))]
+
+    def commit(self, frame: frames.Committed, now_s: float) -> list[Action]:
+        if frame.epoch != self.view.epoch or not self.committed < frame.number <= self.number:
+            return []
+        self.committed = frame.number
+        actions: list[Action] = []
+        previous = self.view.previous(self.me)
+        if previous is not None:
+            actions.append(Tell(previous, frames.Committed(self.view.epoch, frame.number)))
+        if self.is_head():
+            # The tail has answered the first; the rest had sent the same again meanwhile.
+            actions += [Tell(origin, frames.Outcome(ident, 200, "taken")) for ident, origin in self.asked[1:]]
+            self.asked = []
+            actions += self.take_next(now_s)
+        return actions
+
+    def tick(self, now_s: float) -> list[Action]:
+        if self.number > self.committed and now_s - self.sent_s >= RESEND_S:
+            return self.send_down(now_s)
+        return []
+
+    # -- reads, at the tail --------------------------------------------------------------------------------
+
+    def read(self, frame: frames.Read) -> list[Action]:
+        if not self.is_tail():
+            return [Tell(self.view.tail, frame)]
+        body = self.last.body if self.last else b""
+        return [Tell(frame.origin, frames.Reading(frame.ident, 200 if self.last else 404, body))]
+
+
+def answer(order: frames.Order, status: int, text: str) -> Tell:
+    return Tell(order.origin, frames.Outcome(order.ident, status, text))
--- /dev/null
+++ b/cypressbeam/configuration.py
@@ -0,0 +1,133 @@
+"""The gateway's configuration as the operator sends it: schema, and the checks that make it valid (PROTOCOL.md)."""
+
+from __future__ import annotations
+
+import hashlib
+import io
+from typing import Literal
+
+import cbor2
+import msgspec
+
+Mode = Literal["idempotent", "effectful", "ingest"]
+
+
+class Invalid(Exception):
+    """A configuration that can't be taken: one line on where and why."""
+
+
+class Share(msgspec.Struct, frozen=True):
+    plant: str
+    gain: float
+
+
+class Channel(msgspec.Struct, frozen=True, rename="camel"):
+    """A route. Times are in milliseconds."""
+
+    label: str
+    host: str
+    prefix: str
+    mode: Mode
+    cutoff_ms: float
+    setpoint_ms: float
+    rank: int = 0
+    tries: int = 1
+    plant: str | None = None
+    allocation: tuple[Share, ...] = ()
+
+    def shares(self) -> tuple[Share, ...]:
+        """The services that the route leads to, each with its weight above 0."""
+        if self.plant is not None:
+            return (Share(self.plant, 1.0),)
+        return tuple(share for share in self.allocation if share.gain > 0)
+
+
+class Plant(msgspec.Struct, frozen=True, rename="camel"):
+    """A service."""
+
+    label: str
+    probe: str = ""
+    conn_limit: int = 0
+    protocol: str = "h1"
+    tls: bool = False
+
+
+class Constraints(msgspec.Struct, frozen=True, rename="camel"):
+    """What a client may send, and how long it may take or stay idle. Bytes and milliseconds."""
+
+    header_max_bytes: int = 16384
+    body_max_bytes: int = 64 * 1024 * 1024
+    header_wait_ms: float = 3000
+    quiet_ms: float = 15000
+
+
+class Configuration(msgspec.Struct, frozen=True):
+    revision: int
+    channels: tuple[Channel, ...]
+    plants: tuple[Plant, ...]
+    constraints: Constraints = Constraints()
+
+
+def digest(body: bytes) -> bytes:
+    """What tells one configuration's bytes from another's."""
+    return hashlib.sha256(body).digest()
+
+
+def decode(body: bytes) -> object:
+    """One whole CBOR item and nothing behind it. Raises Invalid."""
+    stream = io.BytesIO(body)
+    try:
+        value: object = cbor2.load(stream)
+    except (ValueError, EOFError, RecursionError, OverflowError, TypeError) as err:
+        raise Invalid(f"no CBOR: {err}") from None
+    if stream.tell() != len(body):
+        raise Invalid("bytes behind the CBOR item")
+    return value
+
+
+def read(body: bytes) -> Configuration:
+    """A configuration from its bytes, checked. Raises Invalid."""
+    try:
+        configuration = msgspec.convert(decode(body), Configuration)
+    except msgspec.ValidationError as err:
+        raise Invalid(str(err)) from None
+    check(configuration)
+    return configuration
+
+
+def check(configuration: Configuration) -> None:
+    """Raises Invalid for what PROTOCOL.md calls invalid, and for what could not be carried out."""
+    if configuration.revision <= 0:
+        raise Invalid(f"revision: above 0 is wanted, not {configuration.revision}")
+    limits = configuration.constraints
+    if min(limits.header_max_bytes, limits.body_max_bytes, limits.header_wait_ms, limits.quiet_ms) <= 0:
+        raise Invalid("constraints: each must be above 0")
+    services = {plant.label for plant in configuration.plants}
+    if len(services) != len(configuration.plants):
+        raise Invalid("plants: two have the same label")
+    places: dict[tuple[str, str], str] = {}
+    for channel in configuration.channels:
+        check_channel(channel, services)
+        place = (channel.host.lower(), channel.prefix)
+        if place in places:
+            raise Invalid(f"channels[{channel.label}]: host and prefix are those of {places[place]}")
+        places[place] = channel.label
+
+
+def check_channel(channel: Channel, services: set[str]) -> None:
+    where = f"channels[{channel.label}]"
+    if not channel.host:
+        raise Invalid(f"{where}.host: a name is wanted")
+    if not (channel.prefix.startswith("/") and channel.prefix.endswith("/")):
+        raise Invalid(f"{where}.prefix: must begin and end with a slash, not {channel.prefix!r}")
+    if not 0 < channel.cutoff_ms < 1e9 or not 0 <= channel.setpoint_ms < 1e9:
+        raise Invalid(f"{where}: cutoffMs must be above 0, setpointMs at least 0")
+    if channel.tries < 0 or channel.rank < 0:
+        raise Invalid(f"{where}: tries and rank must be at least 0")
+    if (channel.plant is None) == (not channel.allocation):
+        raise Invalid(f"{where}: either plant or allocation is wanted")
+    named = {channel.plant} if channel.plant is not None else {share.plant for share in channel.allocation}
+    if unknown := named - services:
+        raise Invalid(f"{where}: unknown service {min(map(str, unknown))}")
+    if any(not 0 <= share.gain < float("inf") for share in channel.allocation) or not channel.shares():
+        raise Invalid(f"{where}.allocation: the weights must be at least 0 and not add up to 0")
--- /dev/null
+++ b/cypressbeam/control.py
@@ -0,0 +1,122 @@
+"""Control calls: the operator's configuration, taken by any node and passed on; read back from the tail."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from cypressbeam import configuration, frames
+from mallowworks.carrier import Clock
+from mallowworks.frontend import ClientConnection
+from mallowworks.http import Answer, Limits
+from mallowworks.messages import BadRequest, Message
+
+log = logging.getLogger(__name__)
+
+REPLACE, READ = b"/-/Configuration.Replace", b"/-/Configuration.Read"
+#: A configuration of many thousand routes fits; more is refused with 413.
+MOST_BODY = 8 * 1024 * 1024
+LIMITS = Limits(head_bytes=16 * 1024, body_bytes=MOST_BODY, ask_s=5.0, body_s=5.0, idle_s=30.0, body_renews=True)
+MOST_CONNECTIONS = 64
+#: Callers move on after a second of silence, so by then they hear that they should.
+PATIENCE_S = 0.9
+#: An order or read without an answer is sent again: the link may have broken. The head knows one that it has.
+AGAIN_S = 0.3
+CBOR = (b"Content-Type", b"application/cbor")
+
+
+@dataclass(slots=True)
+class Call:
+    """A call that waits for the chain's answer."""
+
+    connection: ClientConnection
+    frame: frames.Order | frames.Read
+    due_s: float
+
+
+class Control:
+    """The application behind a control listener. `view` gives the chain's members, head first, as last known."""
+
+    def __init__(self, ip: str, view: Callable[[], tuple[str, ...]],
+                 send: Callable[[str, frames.Frame], None]) -> None:
+        self.loop: asyncio.AbstractEventLoop = asyncio.get_running_loop()
+        self.now_us = Clock()
+        self.ip = ip
+        self.view = view
+        self.send = send
+        self.chance = random.SystemRandom()
+        self.calls: dict[str, Call] = {}
+
+    def can_serve(self) -> bool:
+        return bool(self.view())
+
+    def serve(self, message: Message, connection: ClientConnection) -> Answer | None:
+        path = message.target.partition(b"?")[0]
+        if path == REPLACE:
+            return self.replace(message, connection)
+        if path == READ:
+            return self.read(message, connection)
+        raise BadRequest(404, "no such call")
+
+    def replace(self, message: Message, connection: ClientConnection) -> Answer | None:
+        if message.method != b"POST":
+            raise BadRequest(405, "Configuration.Replace is a POST", b"POST")
+        given = [value for lower, _, value in message.headers if lower == b"base-revision"]
+        if len(given) != 1 or not given[0].isdigit() or len(given[0]) > 18:
+            raise BadRequest(400, "Base-Revision: the number of a version is needed")
+        try:
+            configuration.read(message.body)
+        except configuration.Invalid as err:
+            raise BadRequest(400, str(err)) from None
+        ident = self.chance.getrandbits(63)
+        return self.pass_on(frames.Order(ident, self.ip, int(given[0]), message.body), connection)
+
+    def read(self, message: Message, connection: ClientConnection) -> Answer | None:
+        if message.method not in (b"GET", b"HEAD"):
+            raise BadRequest(405, "Configuration.Read is a GET", b"GET, HEAD")
+        return self.pass_on(frames.Read(self.chance.getrandbits(63), self.ip), connection)
+
+    def pass_on(self, frame: frames.Order | frames.Read, connection: ClientConnection) -> Answer | None:
+        if not self.view():
+            return unavailable("the chain is not known here yet")
+        name = str(frame.ident)
+        connection.request = name
+        self.calls[name] = Call(connection, frame, self.loop.time() + PATIENCE_S)
+        self.press(name)
+        return None
+
+    def press(self, name: str) -> None:
+        """Send a call that waits, again until it is answered or its caller moves on."""
+        call = self.calls.get(name)
+        if call is None:
+            return
+        if self.loop.time() >= call.due_s:
+            log.warning("a call was left without the chain's answer")
+            self.settle(name, unavailable("the chain does not answer"))
+            return
+        members = self.view()
+        if members:
+            self.send(members[0] if isinstance(call.frame, frames.Order) else members[-1], call.frame)
+        self.loop.call_later(min(AGAIN_S, max(call.due_s - self.loop.time(), 0.001)), self.press, name)
+
+    def settle(self, name: str, answer: Answer) -> None:
+        call = self.calls.pop(name, None)
+        if call is not None:
+            call.connection.respond(answer)
+
+    def on_outcome(self, frame: frames.Outcome) -> None:
+        headers = [(b"Retry-After", b"0.3")] if frame.status == 503 else []
+        self.settle(str(frame.ident), Answer(frame.status, headers, f"{frame.text}\n".encode()))
+
+    def on_reading(self, frame: frames.Reading) -> None:
+        self.settle(str(frame.ident), Answer(frame.status, [CBOR] if frame.body else [], frame.body))
+
+    def client_gone(self, name: str) -> None:
+        self.calls.pop(name, None)
+
+
+def unavailable(why: str) -> Answer:
+    return Answer(503, [(b"Retry-After", b"0.3")], f"{why}\n".encode())
--- /dev/null
+++ b/cypressbeam/frames.py
@@ -0,0 +1,299 @@
+"""What nodes say to each other: frames packed with `struct`, all of them here.
+
+On a stream a frame is its length and kind, then fields in the order of its class. Numbers are in network order; a
+text has 2 bytes of length before it, a blob 4, a list of texts 2 bytes of count.
+"""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass, fields
+from typing import ClassVar, TypeVar
+
+HEAD = struct.Struct("!IB")
+MOST_FRAME = 16 * 1024 * 1024
+U8, U16, U32, U64 = struct.Struct("!B"), struct.Struct("!H"), struct.Struct("!I"), struct.Struct("!Q")
+NUMBERS = {"c": U8, "h": U16, "i": U32, "q": U64}
+
+
+class FrameError(ValueError):
+    """Bytes that are no frame."""
+
+
+F = TypeVar("F", bound="Frame")
+
+
+@dataclass(frozen=True, slots=True)
+class Frame:
+    """One message. `FORM` gives its fields in order: c, h, i, q numbers of 1 to 8 bytes; s text; b blob; l texts."""
+
+    KIND: ClassVar[int] = 0
+    FORM: ClassVar[str] = ""
+
+    def pack(self) -> bytes:
+        """The frame with its head, as it goes onto a stream."""
+        body = b"".join(_pack(form, getattr(self, field.name))
+                        for form, field in zip(self.FORM, fields(self), strict=True))
+        return HEAD.pack(len(body), self.KIND) + body
+
+    @classmethod
+    def unpack(cls: type[F], data: bytes) -> F:
+        """Raises FrameError if the bytes are not exactly this frame's fields."""
+        values: list[object] = []
+        at = 0
+        try:
+            for form in cls.FORM:
+                value, at = _unpack(form, data, at)
+                values.append(value)
+        except (struct.error, UnicodeDecodeError) as err:
+            raise FrameError(f"{cls.__name__}: {err}") from None
+        if at != len(data):
+            raise FrameError(f"{cls.__name__}: {len(data) - at} bytes too many")
+        return cls(*values)
+
+
+def _pack(form: str, value: object) -> bytes:
+    if form in NUMBERS:
+        return NUMBERS[form].pack(value)
+    if form == "s":
+        assert isinstance(value, str)
+        text = value.encode()
+        return U16.pack(len(text)) + text
+    if form == "b":
+        assert isinstance(value, bytes)
+        return U32.pack(len(value)) + value
+    assert form == "l" and isinstance(value, tuple)
+    return U16.pack(len(value)) + b"".join(_pack("s", item) for item in value)
+
+
+def _unpack(form: str, data: bytes, at: int) -> tuple[object, int]:
+    if form in NUMBERS:
+        number = NUMBERS[form]
+        return number.unpack_from(data, at)[0], at + number.size
+    if form == "l":
+        (count,) = U16.unpack_from(data, at)
+        at += U16.size
+        items = []
+        for _ in range(count):
+            item, at = _unpack("s", data, at)
+            items.append(item)
+        return tuple(items), at
+    size = U16 if form == "s" else U32
+    (length,) = size.unpack_from(data, at)
+    at += size.size
+    if at + length > len(data):
+        raise FrameError("a field ends behind the frame")
+    part = data[at:at + length]
+    return (part.decode() if form == "s" else part), at + length
+
+
+#: Flags of a node.
+FRONT, QUORUM, BOOTSTRAP = 1, 2, 4
+
+
+@dataclass(frozen=True, slots=True)
+class Join(Frame):
+    """A node tells of itself, to a seed or to the root; again and again, for the root's roster is soft."""
+
+    KIND = 1
+    FORM = "sssccs"
+    name: str
+    ip: str
+    zone: str
+    flags: int
+    placed: int
+    """1 from a node that already has a place."""
+    lost: str
+    """The address of a parent that has fallen silent, or nothing."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refer(Frame):
+    """The root is there; an empty address: it is not known yet."""
+
+    KIND = 2
+    FORM = "s"
+    root: str
+
+
+@dataclass(frozen=True, slots=True)
+class Place(Frame):
+    """The root tells a node its few: parents to try in this order, nodes to watch, and how many carry traffic."""
+
+    KIND = 3
+    FORM = "qllllhhh"
+    epoch: int
+    members: tuple[str, ...]
+    """Addresses of the chain, from head to tail."""
+    parents: tuple[str, ...]
+    watches: tuple[str, ...]
+    watch_names: tuple[str, ...]
+    fronts: int
+    zone_fronts: int
+    index: int
+    """This node's number among those that carry traffic."""
+
+
+@dataclass(frozen=True, slots=True)
+class Attach(Frame):
+    """A child tells its parent what it has; the parent sends what it lacks, and all news from then on."""
+
+    KIND = 4
+    FORM = "sqqi"
+    name: str
+    revision: int
+    life: int
+    seq: int
+
+
+@dataclass(frozen=True, slots=True)
+class News(Frame):
+    """A committed configuration, in the operator's own bytes."""
+
+    KIND = 5
+    FORM = "qb"
+    revision: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Servers(Frame):
+    """Rows of the list (see listing.py): all of it, or the changes that lead from `since` to `seq`."""
+
+    KIND = 6
+    FORM = "qiicb"
+    life: int
+    since: int
+    seq: int
+    whole: int
+    rows: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Beat(Frame):
+    """The root lives, and these are its newest; a child that lacks one of them attaches again."""
+
+    KIND = 7
+    FORM = "qiqh"
+    life: int
+    seq: int
+    revision: int
+    fronts: int
+
+
+@dataclass(frozen=True, slots=True)
+class Suspect(Frame):
+    """A watcher tells the root that a node does not answer."""
+
+    KIND = 8
+    FORM = "s"
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class Leave(Frame):
+    """A node is going to end."""
+
+    KIND = 9
+    FORM = "s"
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class Order(Frame):
+    """A configuration on its way to the head of the chain, from the node that took the call."""
+
+    KIND = 10
+    FORM = "qsqb"
+    ident: int
+    origin: str
+    base: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome(Frame):
+    """What has become of an order, as an HTTP status and a line of text."""
+
+    KIND = 11
+    FORM = "qhs"
+    ident: int
+    status: int
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class Forward(Frame):
+    """An entry on its way down the chain."""
+
+    KIND = 12
+    FORM = "qqqqbqs"
+    epoch: int
+    number: int
+    revision: int
+    base: int
+    body: bytes
+    ident: int
+    origin: str
+
+
+@dataclass(frozen=True, slots=True)
+class Committed(Frame):
+    """The tail has synced all entries up to this one; it goes up the chain."""
+
+    KIND = 13
+    FORM = "qq"
+    epoch: int
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Read(Frame):
+    """The newest configuration is asked for, at the tail."""
+
+    KIND = 14
+    FORM = "qs"
+    ident: int
+    origin: str
+
+
+@dataclass(frozen=True, slots=True)
+class Reading(Frame):
+    KIND = 15
+    FORM = "qhb"
+    ident: int
+    status: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Found(Frame):
+    """The founding view, proposed to its members in their order."""
+
+    KIND = 16
+    FORM = "ql"
+    epoch: int
+    members: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Founded(Frame):
+    """A member has the view of this epoch on disk."""
+
+    KIND = 17
+    FORM = "sql"
+    ip: str
+    epoch: int
+    members: tuple[str, ...]
+
+
+FRAMES: dict[int, type[Frame]] = {
+    kind.KIND: kind for kind in (Join, Refer, Place, Attach, News, Servers, Beat, Suspect, Leave, Order, Outcome,
+                                 Forward, Committed, Read, Reading, Found, Founded)}
+
+
+def unpack(kind: int, body: bytes) -> Frame:
+    """A frame by its kind. Raises FrameError."""
+    if kind not in FRAMES:
+        raise FrameError(f"unknown kind {kind}")
+    return FRAMES[kind].unpack(body)
--- /dev/null
+++ b/cypressbeam/gate.py
@@ -0,0 +1,216 @@
+"""The data plane of a node that carries traffic: routes, one balancer a service, and the shared carrier of requests."""
+
+from __future__ import annotations
+
+import logging
+import random
+
+from cypressbeam import listing
+from cypressbeam.configuration import Channel, Configuration
+from cypressbeam.routing import Route, Table, kind_of
+from cypressbeam.settings import Envelope, Settings
+from mallowworks.carrier import ANSWER_MARGIN_US, Carrier, Desk, Request
+from mallowworks.config import CLIENT_SHARE
+from mallowworks.dialect import GATE, PROMISES
+from mallowworks.frontend import ClientConnection
+from mallowworks.http import Answer, Limits
+from mallowworks.messages import BadRequest, Message, gather, pass_on
+from pepperrelay import interface as it
+from pepperrelay.balancer import Balancer
+
+log = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT_US = 250_000
+#: Where a server does not say how long it keeps idle connections.
+IDLE_US = 15_000_000
+MOST_ANSWER = 64 * 1024 * 1024
+#: Descriptors kept for all that is no client or server connection.
+SPARE_DESCRIPTORS = 400
+OVERFLOW = 12
+#: Of the fleet's retry budget nodes plan to use so much of the ratio, and of the slack: arrivals come a little later
+#: than tokens are spent, and the number of nodes is known a little late.
+RATIO_USED = 0.8
+SLACK_USED = 0.6
+#: How dear a crossing between zones is taken to be, as a share of a request's worth.
+CROSSING = 0.1
+#: A started server: the share of its speed that it begins with, and the time to come up.
+COLD_SHARE = 0.5
+COLD_US = 3_000_000
+#: Clients that are told to come back: at most so much later.
+MOST_ADVICE_US = 2_000_000
+#: A node that has no configuration yet asks its clients to come back after so many seconds.
+NOT_READY_S = b"0.5"
+
+MODES = {"idempotent": it.Repeat.SAFE, "effectful": it.Repeat.UNSAFE, "ingest": it.Repeat.UNSAFE}
+
+
+def request_class(channel: Channel) -> it.RequestClass:
+    """What a route asks for, in the balancer's words. Rank 0 is the highest: each further one is worth half."""
+    return it.RequestClass(
+        kind_of(channel), MODES[channel.mode], aim_us=max(int(channel.setpoint_ms * 1000), 1),
+        deadline_us=max(int(channel.cutoff_ms * 1000), 1), worth=2.0 ** -min(channel.rank, 8),
+        late_worth=0.3 * 2.0 ** -min(channel.rank, 8), tries=max(channel.tries, 1))
+
+
+def balancer_settings(channels: list[Channel], settings: Settings, fronts: int, index: int) -> it.Settings:
+    """The settings of one service's balancer. The retry budget of the fleet is parted among its nodes."""
+    envelope: Envelope = settings.envelope
+    classes = {kind_of(channel): request_class(channel) for channel in channels}
+    return it.Settings(
+        classes=tuple(classes.values()), proxies=max(fronts, 1), me=min(index, max(fronts, 1) - 1),
+        zone=settings.zone, may_cancel=True, retry_advice=True, max_advice_us=MOST_ADVICE_US,
+        weights=it.WeightMeaning.SIZE, reports=("queue", "in_flight"),
+        prices=it.Prices(cross_zone=CROSSING), cold_share=COLD_SHARE, cold_us=COLD_US, fall_multiple=1e6,
+        retry_share=RATIO_USED * envelope.retry_ratio,
+        retry_burst=SLACK_USED * envelope.retry_slack / max(fronts, 1), retry_from_empty=True)
+
+
+class Gate(Carrier):
+    """Takes clients' requests by the routes in force. A request ends under the table it came in with."""
+
+    def __init__(self, settings: Settings) -> None:
+        usable = settings.file_handles - SPARE_DESCRIPTORS
+        self.client_connections = max(1, int(usable * CLIENT_SHARE))
+        super().__init__(GATE, CONNECT_TIMEOUT_US, IDLE_US, max(1, usable - self.client_connections), MOST_ANSWER)
+        self.settings = settings
+        self.chance = random.Random()
+        self.table: Table | None = None
+        self.limits = Limits(body_renews=True)
+        self.desks: dict[str, Desk] = {}
+        self.servers: dict[str, listing.Server] = {}
+        self.started_us: dict[str, int] = {}
+        self.listed = False
+        self.version = 0
+        self.fronts, self.index = 1, 0
+        self.start_upkeep()
+
+    def can_serve(self) -> bool:
+        return self.table is not None and self.listed
+
+    # -- news ----------------------------------------------------------------------------------------------
+
+    def take_configuration(self, configuration: Configuration) -> None:
+        """Swap the table of routes, in one step. What balancers have learned stays."""
+        self.table = Table(configuration)
+        limits = configuration.constraints
+        self.limits.head_bytes, self.limits.body_bytes = limits.header_max_bytes, limits.body_max_bytes
+        self.limits.ask_s = limits.header_wait_ms / 1000
+        self.limits.body_s = self.limits.idle_s = limits.quiet_ms / 1000
+        log.info("configuration %d: %d routes", configuration.revision, len(configuration.channels))
+        self.settle()
+
+    def take_fleet(self, fronts: int, index: int) -> None:
+        """How many nodes carry traffic, and which of them this one is."""
+        if (fronts, index) != (self.fronts, self.index):
+            self.fronts, self.index = fronts, index
+            if self.table is not None:
+                self.settle()
+
+    def settle(self) -> None:
+        """Each service's balancer gets its classes; one that has none any more stays as it was, for requests
+        in hand."""
+        assert self.table is not None
+        by_service: dict[str, list[Channel]] = {}
+        for channel in self.table.configuration.channels:
+            for share in channel.shares():
+                by_service.setdefault(share.plant, []).append(channel)
+        for service, channels in by_service.items():
+            settings = balancer_settings(channels, self.settings, self.fronts, self.index)
+            desk = self.desks.get(service)
+            if desk is None:
+                self.desks[service] = Desk(self, Balancer(settings, self.chance.getrandbits(63)))
+                self.tell_servers(service)
+            elif desk.balancer.settings != settings:
+                desk.feed(it.SettingsChanged(settings))
+
+    def take_servers(self, servers: dict[str, listing.Server]) -> None:
+        """The list as it is now; each service's balancer is told of what concerns it."""
+        self.listed = True
+        self.version += 1
+        touched = {server.plant for ident, server in servers.items() if self.servers.get(ident) != server}
+        touched |= {server.plant for ident, server in self.servers.items() if ident not in servers}
+        for ident in self.servers.keys() - servers.keys():
+            self.upstream.shut(ident)
+            self.started_us.pop(ident, None)
+        now_us = self.now_us()
+        for server in servers.values():
+            if server.ident not in self.started_us:
+                warm_us = server.warmup_ms * 1000
+                self.started_us[server.ident] = now_us + warm_us - COLD_US if warm_us else 0
+            self.upstream.place(server.ident, server.address, self.started_us[server.ident],
+                                server.state == listing.IN_SERVICE)
+        self.servers = dict(servers)
+        for service in touched:
+            self.tell_servers(service)
+
+    def tell_servers(self, service: str) -> None:
+        desk = self.desks.get(service)
+        if desk is None:
+            return
+        entries = tuple(
+            it.ServerEntry(server.ident, zone=server.zone, weight=float(server.capacity),
+                           state=(it.ServerState.ACTIVE if server.state == listing.IN_SERVICE
+                                  else it.ServerState.DRAINING),
+                           started_us=self.started_us[server.ident])
+            for server in self.servers.values() if server.plant == service)
+        desk.feed(it.ListChanged(self.version, it.ListScope.WHOLE, entries))
+
+    # -- requests ------------------------------------------------------------------------------------------
+
+    def serve(self, message: Message, connection: ClientConnection) -> Answer | None:
+        if self.table is None or not self.listed or not connection.admitted:
+            connection.closing = True
+            return Answer(503, [(b"Retry-After", NOT_READY_S)])
+        found, named = gather(message, GATE)
+        route = find_route(self.table, message, found)
+        ident = found.get(b"attempt-id", b"").decode("latin-1")
+        if not ident or len(ident) > 128 or not ident.isprintable() or " " in ident:
+            raise BadRequest(400, "Attempt-Id: a word is needed")
+        if self.knows(ident):
+            raise BadRequest(400, f"Attempt-Id: {ident} is still in hand")
+        service = route.choose(self.chance)
+        arrived = it.RequestArrived(ident, route.kind, self.give_up_at(message, found, route))
+        connection.request = ident
+        self.take(Request(self.desks[service], arrived, pass_on(message, named, GATE), message.body,
+                          connection.respond, no_body=message.method == b"HEAD"))
+        return None
+
+    def give_up_at(self, message: Message, found: dict[bytes, bytes], route: Route) -> int:
+        """When the answer is due: before the client's patience ends, and the operator's."""
+        left_ms = route.channel.cutoff_ms
+        text = found.get(b"time-left-ms")
+        if text is not None:
+            if not text.isdigit() or len(text) > 12:
+                raise BadRequest(400, f"Time-Left-Ms: milliseconds are needed, not {text!r}")
+            left_ms = min(left_ms, int(text))
+        return message.came_us + int(left_ms * 1000) - ANSWER_MARGIN_US
+
+    def refusal(self, request: Request, retry_after_us: int) -> Answer:
+        own_word = self.servers_word(request)
+        return own_word or super().refusal(request, retry_after_us)
+
+    def failure(self, request: Request) -> Answer:
+        return self.servers_word(request) or super().failure(request)
+
+    def servers_word(self, request: Request) -> Answer | None:
+        """A server's own failure goes back as it came, unless it would promise what the server did not prove."""
+        answer = request.last_answer
+        if answer is None or request.last_ending is not it.Ending.ERROR or answer.status in PROMISES:
+            return None
+        return self.passed_back(answer)
+
+
+def find_route(table: Table, message: Message, found: dict[bytes, bytes]) -> Route:
+    """Raises BadRequest where no route leads on."""
+    if message.method == b"CONNECT":
+        raise BadRequest(405, "CONNECT is not served here")
+    path = message.target.partition(b"?")[0]
+    if not path.startswith(b"/"):
+        raise BadRequest(400, "a path is needed")
+    host = found.get(b"host")
+    if host is None:
+        raise BadRequest(400, "Host is needed")
+    route = table.find(host.decode("latin-1"), path.decode("latin-1"))
+    if route is None:
+        raise BadRequest(404, "no route")
+    return route
--- /dev/null
+++ b/cypressbeam/listing.py
@@ -0,0 +1,144 @@
+"""The platform's list of servers: reading its pages, telling what changed, and its rows between nodes. Pure."""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass, replace
+
+import msgspec
+
+from cypressbeam import frames
+from cypressbeam.configuration import Invalid, decode
+from mallowworks.discovery import Address, read_address
+
+IN_SERVICE, DRAINING, GONE = 0, 1, 2
+STATES = {"in_service": IN_SERVICE, "draining": DRAINING}
+ROW = struct.Struct("!HIB4sH")
+
+
+@dataclass(frozen=True, slots=True)
+class Server:
+    """One life of a server. `warmup_ms` is how much longer it was slow when the root first saw it."""
+
+    ident: str
+    plant: str
+    address: Address
+    zone: str
+    capacity: int
+    state: int
+    warmup_ms: int
+
+
+class Listed(msgspec.Struct, frozen=True, rename="camel"):
+    id: str
+    plant: str
+    address: str
+    zone: str = ""
+    capacity: int = 1
+    state: str = "in_service"
+    warmup_left_ms: float = 0
+
+
+class Page(msgspec.Struct, frozen=True, rename="camel"):
+    servers: tuple[Listed, ...]
+    next_token: str | None = None
+
+
+def read_page(body: bytes) -> tuple[list[Server], str | None]:
+    """The servers of a page, and the token of the next. Raises ValueError for what is no page."""
+    try:
+        page = msgspec.convert(decode(body), Page)
+    except (msgspec.ValidationError, Invalid) as err:
+        raise ValueError(f"no page of servers: {err}") from None
+    return [read_server(listed) for listed in page.servers], page.next_token
+
+
+def read_server(listed: Listed) -> Server:
+    return Server(listed.id, listed.plant, read_address(listed.address), listed.zone,
+                  min(max(listed.capacity, 1), 65535), STATES.get(listed.state, DRAINING),
+                  min(max(int(listed.warmup_left_ms), 0), 2**32 - 1))
+
+
+def pack_rows(servers: list[Server]) -> bytes:
+    """Rows as they go between nodes; an address by its four bytes."""
+    parts = []
+    for server in servers:
+        host = bytes(int(part) for part in server.address[0].split("."))
+        parts.append(ROW.pack(server.capacity, server.warmup_ms, server.state, host, server.address[1]))
+        for text in (server.ident, server.plant, server.zone):
+            data = text.encode()
+            parts.append(frames.U8.pack(len(data)) + data)
+    return b"".join(parts)
+
+
+def unpack_rows(data: bytes) -> list[Server]:
+    """Raises FrameError."""
+    servers, at = [], 0
+    try:
+        while at < len(data):
+            capacity, warmup_ms, state, host, port = ROW.unpack_from(data, at)
+            at += ROW.size
+            texts = []
+            for _ in range(3):
+                length = data[at]
+                texts.append(data[at + 1:at + 1 + length].decode())
+                at += 1 + length
+            if at > len(data):
+                raise frames.FrameError("a row ends behind the frame")
+            ident, plant, zone = texts
+            servers.append(Server(ident, plant, (".".join(map(str, host)), port), zone, capacity, state,
+                                  warmup_ms))
+    except (struct.error, IndexError, UnicodeDecodeError) as err:
+        raise frames.FrameError(f"rows: {err}") from None
+    return servers
+
+
+class Listing:
+    """A node's copy of the list. A life is one root's; changes follow on one another within it."""
+
+    def __init__(self, life: int = 0) -> None:
+        self.life = life
+        self.seq = 0
+        self.servers: dict[str, Server] = {}
+
+    def poll(self, polled: list[Server]) -> frames.Servers | None:
+        """At the root: take up a whole list from the platform; returns what changed, for the children."""
+        changed = []
+        now = {server.ident: server for server in polled}
+        for ident, server in now.items():
+            known = self.servers.get(ident)
+            # The warm-up runs on by itself: only its first figure is told.
+            same = replace(server, warmup_ms=known.warmup_ms) if known is not None else server
+            now[ident] = same
+            if same != known:
+                changed.append(same)
+        changed += [replace(known, state=GONE) for ident, known in self.servers.items() if ident not in now]
+        if not changed and self.seq:
+            return None
+        self.servers = now
+        self.seq += 1
+        return frames.Servers(self.life, self.seq - 1, self.seq, 0, pack_rows(changed))
+
+    def whole(self) -> frames.Servers:
+        """All that is known, for a child that has none of it."""
+        return frames.Servers(self.life, 0, self.seq, 1, pack_rows(list(self.servers.values())))
+
+    def apply(self, frame: frames.Servers) -> bool | None:
+        """Take up what a parent sent. True: the list changed; False: it says nothing new; None: it does not follow
+        on what is here, so the whole is needed."""
+        if frame.whole:
+            if (frame.life, frame.seq) == (self.life, self.seq):
+                return False
+            self.servers = {server.ident: server for server in unpack_rows(frame.rows)}
+        elif frame.life != self.life or frame.since > self.seq:
+            return None
+        elif frame.seq <= self.seq:
+            return False
+        else:
+            for server in unpack_rows(frame.rows):
+                if server.state == GONE:
+                    self.servers.pop(server.ident, None)
+                else:
+                    self.servers[server.ident] = server
+        self.life, self.seq = frame.life, frame.seq
+        return True
--- /dev/null
+++ b/cypressbeam/node.py
@@ -0,0 +1,247 @@
+"""One node of the system: which parts run follows from its settings. Start, the way of frames, stop."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+from collections.abc import Mapping
+
+from cypressbeam import configuration, control, frames
+from cypressbeam.chain import Tell
+from cypressbeam.control import Control
+from cypressbeam.core import Core, Founding
+from cypressbeam.gate import OVERFLOW, Gate
+from cypressbeam.peers import Link, Peers
+from cypressbeam.relay import Relay
+from cypressbeam.settings import Settings, SettingsError, load
+from cypressbeam.watch import Watch
+from mallowworks.discovery import Address
+from mallowworks.frontend import ClientConnection, Frontend, readiness
+from mallowworks.http import Answer
+from mallowworks.messages import BadRequest, Message
+
+log = logging.getLogger(__name__)
+
+READY_PATH = b"/-/ready"
+#: After SIGTERM new connections still come until two readiness calls, a second apart, were missed.
+ACCEPT_ON_S = 2.4
+#: All that is in hand is answered so long before the end of the grace period.
+STOP_MARGIN_S = 0.8
+FOUNDING_TICK_S = 0.1
+
+
+class Readiness:
+    """The application behind the readiness listener."""
+
+    def __init__(self, gate: Gate) -> None:
+        self.loop = gate.loop
+        self.now_us = gate.now_us
+        self.gate = gate
+        self.front: Frontend | None = None
+
+    def can_serve(self) -> bool:
+        return self.gate.can_serve()
+
+    def serve(self, message: Message, connection: ClientConnection) -> Answer | None:
+        if message.target.partition(b"?")[0] != READY_PATH:
+            raise BadRequest(404, "no such call")
+        return readiness(connection, message.method)
+
+    def client_gone(self, name: str) -> None:
+        """Every answer is given at once."""
+
+
+class GatewayNode:
+    def __init__(self, settings: Settings) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.settings = settings
+        flags = ((frames.FRONT if settings.front else 0) | (frames.QUORUM if settings.quorum_member else 0)
+                 | (frames.BOOTSTRAP if settings.bootstrap else 0))
+        self.peers = Peers(settings.ip, settings.peer_port, self.on_frame, self.on_lost)
+        self.relay = Relay(settings, self.peers, flags)
+        self.relay.on_configuration = self.take_configuration
+        self.relay.on_servers = self.take_servers
+        self.relay.on_place = self.take_place
+        self.watch = Watch(settings.peer_port, self.on_silent)
+        self.gate = Gate(settings) if settings.front else None
+        self.core = Core(settings, self.relay, self.peers.send) if settings.state_dir else None
+        self.control = Control(settings.ip, self.members, self.peers.send)
+        self.founding: Founding | None = None
+        self.frontends: list[Frontend] = []
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    # -- start and stop ------------------------------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Raises StoreError, or OSError where an address can't be listened at."""
+        settings = self.settings
+        await self.peers.listen()
+        if self.core is not None:
+            await self.core.start()
+        if settings.bootstrap and settings.seeds and settings.seeds[0][0] == settings.ip and not self.members():
+            self.founding = Founding(2 * settings.machine_losses + 1)
+            self.found()
+        if settings.control is not None:
+            await self.listen(Frontend(self.control, control.MOST_CONNECTIONS, OVERFLOW, control.LIMITS),
+                              settings.control)
+        if self.gate is not None and settings.front is not None:
+            await self.listen(Frontend(self.gate, self.gate.client_connections, OVERFLOW, self.gate.limits),
+                              settings.front)
+            if settings.readiness is not None:
+                await self.listen(Frontend(Readiness(self.gate), 64, OVERFLOW, control.LIMITS), settings.readiness)
+        self.relay.start()
+        await self.watch.start(settings.ip)
+
+    async def listen(self, frontend: Frontend, address: Address) -> None:
+        await frontend.listen(*address)
+        self.frontends.append(frontend)
+
+    async def stop(self) -> None:
+        """In order: unready, go on serving until clients stay away, answer what is in hand, end."""
+        ends_s = self.loop.time() + self.settings.envelope.grace_period_s - STOP_MARGIN_S
+        self.relay.leave()
+        for frontend in self.frontends:
+            frontend.stopping = True
+        if self.gate is not None:
+            await asyncio.sleep(ACCEPT_ON_S)
+            for frontend in self.frontends:
+                frontend.stop_accepting()
+            while self.gate.requests and self.loop.time() < ends_s:
+                await asyncio.sleep(0.02)
+            for request in [*self.gate.requests.values()]:
+                self.gate.time_is_up(request)
+            await asyncio.sleep(0.05)
+            self.gate.upstream.close()
+        if self.core is not None:
+            self.core.close()
+        self.watch.close()
+        self.peers.close()
+
+    def reload(self, environ: Mapping[str, str]) -> None:
+        """Take up a changed settings file: the seeds; all else waits for a restart. A wrong one changes nothing."""
+        try:
+            new = load(environ)
+        except SettingsError as err:
+            log.error("settings: %s; the old ones stay", err)
+            return
+        if new.seeds != self.settings.seeds:
+            log.info("settings: seeds are %s", " ".join(f"{host}:{port}" for host, port in new.seeds))
+        self.settings = self.relay.settings = new
+
+    def found(self) -> None:
+        founding = self.founding
+        if founding is None:
+            return
+        if self.settings.quorum_member:
+            founding.candidate(self.settings.ip, self.loop.time())
+        for tell in founding.tick(self.loop.time()):
+            assert isinstance(tell, Tell)
+            self.peers.send(tell.ip, tell.frame)
+        if founding.done() or self.relay.place is not None:
+            self.founding = None
+        else:
+            self.loop.call_later(FOUNDING_TICK_S, self.found)
+
+    # -- what is known -------------------------------------------------------------------------------------
+
+    def members(self) -> tuple[str, ...]:
+        """The chain, head first, as this node knows it; empty before it does."""
+        if self.core is not None and self.core.view is not None:
+            return self.core.view.members
+        return self.relay.place.members if self.relay.place is not None else ()
+
+    def take_configuration(self, revision: int, body: bytes) -> None:
+        if self.gate is not None:
+            try:
+                self.gate.take_configuration(configuration.read(body))
+            except configuration.Invalid as err:  # the head has checked it, so this is a fault of ours
+                log.error("configuration %d: %s", revision, err)
+
+    def take_servers(self) -> None:
+        if self.gate is not None:
+            self.gate.take_servers(self.relay.listing.servers)
+
+    def take_place(self) -> None:
+        place = self.relay.place
+        if place is None:
+            return
+        self.watch.take(place.watches, place.watch_names)
+        if self.gate is not None:
+            self.gate.take_fleet(self.relay.fronts, place.index)
+
+    def on_silent(self, name: str) -> None:
+        if self.relay.is_root and self.core is not None:
+            self.core.on_gone(name, "does not answer")
+        elif self.relay.root:
+            self.peers.send(self.relay.root, frames.Suspect(name))
+
+    # -- frames --------------------------------------------------------------------------------------------
+
+    def on_lost(self, link: Link) -> None:
+        self.relay.link_lost(link)
+
+    def on_frame(self, link: Link, frame: frames.Frame) -> None:
+        relay, core = self.relay, self.core
+        if isinstance(frame, frames.Beat):
+            relay.on_beat(link, frame)
+        elif isinstance(frame, frames.News):
+            relay.publish(frame.revision, frame.body)
+        elif isinstance(frame, frames.Servers):
+            relay.on_listed(link, frame)
+        elif isinstance(frame, frames.Attach):
+            relay.on_attach(link, frame)
+        elif isinstance(frame, frames.Join):
+            self.on_join(link, frame)
+        elif isinstance(frame, frames.Refer):
+            relay.on_refer(frame)
+        elif isinstance(frame, frames.Place):
+            relay.on_placed(link, frame)
+        elif isinstance(frame, frames.Outcome):
+            self.control.on_outcome(frame)
+        elif isinstance(frame, frames.Reading):
+            self.control.on_reading(frame)
+        elif isinstance(frame, frames.Founded):
+            self.on_founded(frame)
+        elif core is not None:
+            self.on_core_frame(core, link, frame)
+
+    def on_core_frame(self, core: Core, link: Link, frame: frames.Frame) -> None:
+        if isinstance(frame, frames.Found):
+            core.task(core.on_found(link, frame))
+        elif isinstance(frame, (frames.Suspect, frames.Leave)):
+            if self.relay.is_root:
+                core.on_gone(frame.name, "leaves" if isinstance(frame, frames.Leave) else "does not answer")
+        else:
+            core.on_chain(frame)
+
+    def on_join(self, link: Link, frame: frames.Join) -> None:
+        if self.relay.is_root and self.core is not None:
+            self.core.on_join(link, frame)
+            return
+        if self.founding is not None and frame.flags & frames.QUORUM and not frame.placed:
+            self.founding.candidate(frame.ip, self.loop.time())
+        members = self.members()
+        link.send(frames.Refer(members[-1] if members else ""))
+
+    def on_founded(self, frame: frames.Founded) -> None:
+        founding = self.founding
+        if founding is not None and founding.view is not None and frame.members == founding.view.members:
+            founding.agreed.add(frame.ip)
+
+
+async def serve(settings: Settings) -> None:
+    """Run a node until it is told to stop."""
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    node = GatewayNode(settings)
+    loop.add_signal_handler(signal.SIGHUP, node.reload, os.environ)
+    await node.start()
+    log.info("%s runs at %s", settings.node, settings.ip)
+    await stop.wait()
+    log.info("stopping")
+    await node.stop()
+    log.info("stopped")
--- /dev/null
+++ b/cypressbeam/peers.py
@@ -0,0 +1,156 @@
+"""Connections between nodes: frames over TCP, one connection out to each node that is written to."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable
+from typing import cast
+
+from cypressbeam import frames
+
+log = logging.getLogger(__name__)
+
+#: A machine without power stays silent: unanswered bytes break a connection after so long.
+USER_TIMEOUT_MS = 1500
+CONNECT_TIMEOUT_S = 1.0
+#: Bytes that may wait for a peer that does not read.
+MOST_UNWRITTEN = 8 * 1024 * 1024
+
+
+class Link(asyncio.Protocol):
+    """One connection to another node, either way. Frames sent before it is up wait for it."""
+
+    def __init__(self, peers: Peers, ip: str) -> None:
+        self.peers = peers
+        self.ip = ip
+        self.buffer = bytearray()
+        self.transport: asyncio.Transport | None = None
+        self.early: list[bytes] = []
+        self.closed = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.ip = transport.get_extra_info("peername")[0]
+        made = transport.get_extra_info("socket")
+        made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        if self.closed:
+            self.transport.abort()
+            return
+        self.peers.links.add(self)
+        if self.early:
+            self.transport.write(b"".join(self.early))
+            self.early.clear()
+
+    def send(self, frame: frames.Frame) -> None:
+        self.send_packed(frame.pack())
+
+    def send_packed(self, data: bytes) -> None:
+        if self.closed:
+            return
+        if self.transport is None:
+            self.early.append(data)
+        elif self.transport.get_write_buffer_size() > MOST_UNWRITTEN:
+            log.warning("node %s does not read; its connection is closed", self.ip)
+            self.close()
+        else:
+            self.transport.write(data)
+
+    def data_received(self, data: bytes) -> None:
+        self.buffer += data
+        while len(self.buffer) >= frames.HEAD.size and not self.closed:
+            length, kind = frames.HEAD.unpack_from(self.buffer)
+            end = frames.HEAD.size + length
+            if length > frames.MOST_FRAME:
+                log.warning("node %s: a frame of %d bytes", self.ip, length)
+                self.close()
+                return
+            if len(self.buffer) < end:
+                return
+            body = bytes(self.buffer[frames.HEAD.size:end])
+            del self.buffer[:end]
+            self.take(kind, body)
+
+    def take(self, kind: int, body: bytes) -> None:
+        try:
+            self.peers.on_frame(self, frames.unpack(kind, body))
+        except frames.FrameError as err:
+            log.warning("node %s: %s", self.ip, err)
+            self.close()
+        except Exception:
+            log.exception("a frame of kind %d from %s could not be carried out", kind, self.ip)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.lost()
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+        self.lost()
+
+    def lost(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.peers.forget(self)
+
+
+class LocalLink(Link):
+    """To the node itself: frames come back in the next turn of the loop."""
+
+    def send(self, frame: frames.Frame) -> None:
+        self.peers.loop.call_soon(self.peers.on_frame, self, frame)
+
+
+class Peers:
+    """All connections to other nodes."""
+
+    def __init__(self, ip: str, port: int, on_frame: Callable[[Link, frames.Frame], None],
+                 on_lost: Callable[[Link], None]) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.ip = ip
+        self.local = LocalLink(self, ip)
+        self.port = port
+        self.on_frame = on_frame
+        self.on_lost = on_lost
+        self.links: set[Link] = set()
+        self.out: dict[str, Link] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.server: asyncio.Server | None = None
+
+    async def listen(self) -> None:
+        self.server = await self.loop.create_server(lambda: Link(self, ""), self.ip, self.port)
+
+    def to(self, ip: str) -> Link:
+        """The connection out to a node; it comes up by itself."""
+        if ip == self.ip:
+            return self.local
+        link = self.out.get(ip)
+        if link is None:
+            link = self.out[ip] = Link(self, ip)
+            task = self.loop.create_task(self.connect(link))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        return link
+
+    def send(self, ip: str, frame: frames.Frame) -> None:
+        self.to(ip).send(frame)
+
+    async def connect(self, link: Link) -> None:
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await self.loop.create_connection(lambda: link, link.ip, self.port)
+        except (OSError, TimeoutError):
+            link.lost()
+
+    def forget(self, link: Link) -> None:
+        self.links.discard(link)
+        if self.out.get(link.ip) is link:
+            del self.out[link.ip]
+        self.on_lost(link)
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for link in [*self.links]:
+            link.close()
--- /dev/null
+++ b/cypressbeam/relay.py
@@ -0,0 +1,218 @@
+"""A node's place among the others: joining, the parent that feeds it, the children it feeds, and the news itself."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+from cypressbeam import frames
+from cypressbeam.listing import Listing
+from cypressbeam.peers import Link, Peers
+from cypressbeam.roster import RENEW_S
+from cypressbeam.settings import Settings
+
+log = logging.getLogger(__name__)
+
+TICK_S = 0.1
+#: The root's beat, and the silence after which a parent is given up: a new one must be found, and the news taken up,
+#: well inside the bounds of configuration and draining.
+BEAT_S = 0.4
+SILENCE_S = 1.1
+#: How long an answer to a join is waited for before another node is asked.
+JOIN_S = 0.4
+JOIN_JITTER_S = 0.1
+#: A child that lacks something asks for it again after so long.
+ASK_AGAIN_S = 0.3
+
+
+class Relay:
+    """The node's end of the tree. `on_configuration` and `on_servers` are told of news, `on_place` of a new place."""
+
+    def __init__(self, settings: Settings, peers: Peers, flags: int) -> None:
+        self.settings = settings
+        self.peers = peers
+        self.flags = flags
+        self.loop = asyncio.get_running_loop()
+        self.chance = random.Random()
+        self.place: frames.Place | None = None
+        self.root = ""
+        self.parent: Link | None = None
+        self.tried = 0  # parents of the place that were tried
+        self.children: set[Link] = set()
+        self.revision = 0
+        self.body = b""
+        self.listing = Listing()
+        self.fronts = 0
+        self.heard_s = 0.0
+        self.asked_s = 0.0
+        self.joined_s = 0.0
+        self.join_due_s = 0.0
+        self.seed = 0
+        self.lost = ""
+        self.is_root = False
+        self.leaving = False
+        self.on_configuration: Callable[[int, bytes], None] = lambda revision, body: None
+        self.on_servers: Callable[[], None] = lambda: None
+        self.on_place: Callable[[], None] = lambda: None
+
+    def start(self) -> None:
+        self.tick()
+
+    def tick(self) -> None:
+        self.loop.call_later(TICK_S, self.tick)
+        now_s = self.loop.time()
+        if self.is_root:
+            return
+        if self.parent is not None and now_s - self.heard_s > SILENCE_S:
+            log.warning("parent %s has fallen silent", self.parent.ip)
+            self.leave_parent()
+        if self.parent is None or (not self.leaving and now_s - self.joined_s >= RENEW_S):
+            self.join(now_s)
+
+    # -- joining -------------------------------------------------------------------------------------------
+
+    def join(self, now_s: float) -> None:
+        """Ask the root, or a seed that may know it, for a place; one at a time."""
+        if now_s < self.join_due_s:
+            return
+        self.join_due_s = now_s + JOIN_S + self.chance.uniform(0.0, JOIN_JITTER_S)
+        target = self.root
+        if not target:
+            seeds = [host for host, _ in self.settings.seeds if host != self.settings.ip]
+            if not seeds:
+                return
+            target = seeds[self.seed % len(seeds)]
+            self.seed += 1
+        self.root = ""  # until it has answered
+        self.ask(target)
+
+    def ask(self, target: str) -> None:
+        settings = self.settings
+        self.peers.send(target, frames.Join(settings.node, settings.ip, settings.zone, self.flags,
+                                            int(self.place is not None), self.lost))
+
+    def on_refer(self, frame: frames.Refer) -> None:
+        if frame.root and frame.root != self.settings.ip and not self.root:
+            self.root = frame.root
+            self.ask(frame.root)
+        elif not frame.root:
+            self.join_due_s = self.loop.time() + self.chance.uniform(0.3, 1.0) * JOIN_JITTER_S
+
+    def on_placed(self, link: Link, frame: frames.Place) -> None:
+        self.joined_s = self.loop.time()
+        self.root, self.lost = link.ip, ""
+        self.place = frame
+        self.fronts = frame.fronts
+        self.on_place()
+        if self.parent is None or self.parent.ip not in frame.parents:
+            self.tried = 0
+            self.attach(frame.parents[0])
+
+    def attach(self, ip: str) -> None:
+        """Ask a node for the news; the old parent goes."""
+        if self.parent is not None:
+            self.parent.close()
+        self.heard_s = self.loop.time()
+        self.parent = self.peers.to(ip)
+        self.ask_news()
+
+    def ask_news(self) -> None:
+        self.asked_s = self.loop.time()
+        if self.parent is not None:
+            self.parent.send(frames.Attach(self.settings.node, self.revision, self.listing.life,
+                                           self.listing.seq))
+
+    def leave_parent(self) -> None:
+        parent, self.parent = self.parent, None
+        if parent is None:
+            return
+        self.lost = parent.ip
+        parent.close()
+        self.join_due_s = 0.0
+        self.tried += 1
+        if self.place is not None and self.tried < len(self.place.parents):
+            self.attach(self.place.parents[self.tried])
+            self.joined_s = 0.0  # and tell the root who was lost
+        elif self.lost == self.root:
+            self.root = ""
+
+    def link_lost(self, link: Link) -> None:
+        self.children.discard(link)
+        if link is self.parent:
+            log.info("the connection to parent %s is lost", link.ip)
+            self.leave_parent()
+
+    def leave(self) -> None:
+        """This node is going to end: others feed its children from now on; news still comes until then."""
+        self.leaving = True
+        if self.root:
+            self.peers.send(self.root, frames.Leave(self.settings.node))
+        for child in [*self.children]:
+            child.close()
+
+    # -- at the root ---------------------------------------------------------------------------------------
+
+    def become_root(self, life: int) -> None:
+        """The list of this root's life goes down from here. What an earlier root told is kept until then."""
+        if not self.is_root:
+            self.is_root = True
+            self.listing = Listing(life)
+            self.root = self.settings.ip
+            self.beat()
+
+    def beat(self) -> None:
+        if self.is_root:
+            self.loop.call_later(BEAT_S, self.beat)
+            self.tell(frames.Beat(self.listing.life, self.listing.seq, self.revision, self.fronts))
+
+    # -- news ----------------------------------------------------------------------------------------------
+
+    def tell(self, frame: frames.Frame) -> None:
+        """To all children."""
+        if self.children:
+            data = frame.pack()
+            for child in [*self.children]:
+                child.send_packed(data)
+
+    def on_attach(self, link: Link, frame: frames.Attach) -> None:
+        if self.leaving:
+            link.close()
+            return
+        self.children.add(link)
+        if self.revision > frame.revision:
+            link.send(frames.News(self.revision, self.body))
+        if self.listing.seq and (frame.life, frame.seq) != (self.listing.life, self.listing.seq):
+            link.send(self.listing.whole())
+
+    def publish(self, revision: int, body: bytes) -> None:
+        """A committed configuration. One that is not newer is no news: a node never goes back."""
+        if revision <= self.revision:
+            return
+        self.revision, self.body = revision, body
+        self.tell(frames.News(revision, body))
+        self.on_configuration(revision, body)
+
+    def on_listed(self, link: Link, frame: frames.Servers) -> None:
+        if link is not self.parent:
+            return
+        news = self.listing.apply(frame)
+        if news is None:
+            self.ask_news()
+        elif news:
+            self.tell(frame)
+            self.on_servers()
+
+    def on_beat(self, link: Link, frame: frames.Beat) -> None:
+        if link is not self.parent:
+            return
+        now_s = self.heard_s = self.loop.time()
+        self.tell(frame)
+        if frame.fronts != self.fronts:
+            self.fronts = frame.fronts
+            self.on_place()
+        lacks = (frame.revision > self.revision
+                 or (frame.seq and (frame.life, frame.seq) != (self.listing.life, self.listing.seq)))
+        if lacks and now_s - self.asked_s >= ASK_AGAIN_S:
+            self.ask_news()
--- /dev/null
+++ b/cypressbeam/roster.py
@@ -0,0 +1,109 @@
+"""Who there is, as the root knows it, and what each node is told of it: its place in the tree, and whom to watch.
+
+Pure. Both follow from rendezvous hashing (Thaler and Ravishankar, 1998), so a node that comes or goes moves few others.
+The roster is soft state: nodes join again and again, and one that has not for long is dropped.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+
+from cypressbeam import frames
+
+#: Children of one relay within its zone.
+FAN_OUT = 4
+#: How many others a node watches.
+WATCHED = 2
+#: A node joins again after so long, and is dropped after missing it for longer.
+RENEW_S = 3.0
+EXPIRES_S = 10.0
+
+
+def weight(key: str, name: str) -> int:
+    """The rendezvous weight of a name for a key: the same on every node."""
+    return int.from_bytes(hashlib.blake2b(f"{key}|{name}".encode(), digest_size=8).digest(), "big")
+
+
+@dataclass(slots=True)
+class Known:
+    name: str
+    ip: str
+    zone: str
+    flags: int
+    seen_s: float
+    shunned: bool = False
+    """Somebody has lost it; until it joins again it gets no children."""
+
+
+class Roster:
+    """All nodes, at the root."""
+
+    def __init__(self, me: str) -> None:
+        self.me = me
+        self.nodes: dict[str, Known] = {}
+        self.orders: dict[str, list[Known]] = {}
+        self.stale = True
+
+    def join(self, frame: frames.Join, now_s: float) -> None:
+        known = self.nodes.get(frame.name)
+        if known is None or (known.ip, known.flags, known.shunned) != (frame.ip, frame.flags, False):
+            self.stale = True
+        self.nodes[frame.name] = Known(frame.name, frame.ip, frame.zone, frame.flags, now_s)
+        for other in self.nodes.values():
+            if frame.lost and other.ip == frame.lost and not other.shunned and other.name != frame.name:
+                other.shunned = self.stale = True
+
+    def drop(self, name: str) -> bool:
+        self.stale = self.nodes.pop(name, None) is not None or self.stale
+        return self.stale
+
+    def expire(self, now_s: float) -> list[str]:
+        """Drop those that have not joined for long; returns their names."""
+        gone = [name for name, known in self.nodes.items() if now_s - known.seen_s > EXPIRES_S]
+        for name in gone:
+            self.drop(name)
+        return gone
+
+    def fronts(self, zone: str | None = None) -> int:
+        """How many nodes carry traffic, in all or in a zone."""
+        return sum(1 for known in self.nodes.values()
+                   if known.flags & frames.FRONT and zone in (None, known.zone))
+
+    def order(self, zone: str) -> list[Known]:
+        """The traffic-carrying nodes of a zone as they stand in its tree: by weight, doubtful ones last."""
+        if self.stale:
+            self.orders = {}
+            self.stale = False
+        if zone not in self.orders:
+            fronts = [known for known in self.nodes.values()
+                      if known.zone == zone and known.flags & frames.FRONT]
+            self.orders[zone] = sorted(fronts, key=lambda k: (k.shunned, weight("tree", k.name)))
+        return self.orders[zone]
+
+    def parents(self, known: Known, root: str) -> tuple[str, ...]:
+        """Addresses to attach to, best first; the root itself is the last resort. It never leads in a circle: a
+        parent stands before its children in the zone's order, and the first is fed by the root."""
+        if not known.flags & frames.FRONT:
+            return (root,)
+        order = self.order(known.zone)
+        at = order.index(known)
+        if at == 0 or order[(at - 1) // FAN_OUT].shunned:
+            return (root,)
+        return (order[(at - 1) // FAN_OUT].ip, root)
+
+    def watches(self, known: Known) -> list[Known]:
+        """The few that this node watches."""
+        others = [other for other in self.nodes.values() if other is not known]
+        others.sort(key=lambda other: weight(known.name, other.name), reverse=True)
+        return others[:WATCHED]
+
+    def place(self, name: str, epoch: int, members: tuple[str, ...], root: str) -> frames.Place:
+        """What a node is told."""
+        known = self.nodes[name]
+        watched = self.watches(known)
+        names = sorted(other.name for other in self.nodes.values() if other.flags & frames.FRONT)
+        return frames.Place(
+            epoch, members, self.parents(known, root), tuple(other.ip for other in watched),
+            tuple(other.name for other in watched), self.fronts(), self.fronts(known.zone),
+            names.index(name) if name in names else 0)
--- /dev/null
+++ b/cypressbeam/routing.py
@@ -0,0 +1,66 @@
+"""The table of routes: by host, then by the longest prefix that begins the path. Pure."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from cypressbeam.configuration import Channel, Configuration
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """A route as requests meet it."""
+
+    channel: Channel
+    kind: str
+    """The class of its requests at a balancer: routes that ask for the same share one, and so what was learned."""
+    services: tuple[str, ...]
+    weights: tuple[float, ...]
+    """Running sums, for the weighted choice."""
+
+    def choose(self, chance: random.Random) -> str:
+        """The service for one request, by weight."""
+        if len(self.services) == 1:
+            return self.services[0]
+        return chance.choices(self.services, cum_weights=self.weights)[0]
+
+
+def kind_of(channel: Channel) -> str:
+    return (f"{channel.mode}/{channel.setpoint_ms:g}/{channel.cutoff_ms:g}"
+            f"/{channel.rank}/{channel.tries}")
+
+
+def make_route(channel: Channel) -> Route:
+    shares = channel.shares()
+    total, weights = 0.0, []
+    for share in shares:
+        total += share.gain
+        weights.append(total)
+    return Route(channel, kind_of(channel), tuple(share.plant for share in shares), tuple(weights))
+
+
+class Table:
+    """All routes of one configuration. It never changes: a request ends under the table it came in with."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        self.configuration = configuration
+        self.routes: dict[str, dict[str, Route]] = {}
+        for channel in configuration.channels:
+            self.routes.setdefault(channel.host.lower(), {})[channel.prefix] = make_route(channel)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """The route for a Host header (a port in it does not count) and a path without its query."""
+        name = host.strip().lower()
+        if not name.endswith("]"):
+            name = name.rpartition(":")[0] or name
+        of_host = self.routes.get(name)
+        if of_host is None:
+            return None
+        cut = path.rfind("/")
+        while cut >= 0:
+            route = of_host.get(path[:cut + 1])
+            if route is not None:
+                return route
+            cut = path.rfind("/", 0, cut)
+        return None
--- /dev/null
+++ b/cypressbeam/settings.py
@@ -0,0 +1,153 @@
+"""The settings file of a process: lines of the form a.b=value, named by CYPRESSBEAM_BOOT (source: DEPLOY.md)."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TypeVar
+
+from mallowworks.discovery import Address, read_address
+
+VARIABLE = "CYPRESSBEAM_BOOT"
+T = TypeVar("T", int, float)
+
+
+class SettingsError(Exception):
+    """One plain line on what is wrong with the settings: the file, the key, what was found and what is wanted."""
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """The figures within which the rules hold. Milliseconds or seconds, as the names say."""
+
+    converge_ms: int = 3000
+    drain_deadline_ms: int = 3000
+    grace_period_s: float = 6.0
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_slack: float = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """What one process is told. Addresses are host and port; sizes are in the units of their names."""
+
+    node: str
+    ip: str
+    zone: str
+    seeds: tuple[Address, ...]
+    front: Address | None
+    readiness: Address | None
+    control: Address | None
+    internal_ports: tuple[int, int]
+    bootstrap: bool
+    quorum_member: bool
+    state_dir: Path | None
+    memory_mb: int
+    file_handles: int
+    machine_losses: int
+    platform: Address | None
+    platform_per_s: float
+    envelope: Envelope
+
+    @property
+    def peer_port(self) -> int:
+        """The port at which every machine of the system listens for the others."""
+        return self.internal_ports[0]
+
+
+class Lines:
+    """Values by key, each read with a check that names file, key, what was found and what is wanted."""
+
+    def __init__(self, path: str, values: Mapping[str, str]) -> None:
+        self.path = path
+        self.values = values
+
+    def wrong(self, key: str, wanted: str) -> SettingsError:
+        found = self.values.get(key)
+        told = "is missing" if found is None else f"is {found!r}"
+        return SettingsError(f"{self.path}: {key} {told}; {wanted} is wanted")
+
+    def text(self, key: str) -> str:
+        value = self.values.get(key, "")
+        if not value:
+            raise self.wrong(key, "a value")
+        return value
+
+    def address(self, key: str) -> Address | None:
+        return self.addresses(key)[0] if self.values.get(key) else None
+
+    def addresses(self, key: str) -> tuple[Address, ...]:
+        try:
+            return tuple(read_address(part) for part in self.values.get(key, "").split(",") if part)
+        except ValueError:
+            raise self.wrong(key, "host:port") from None
+
+    def flag(self, key: str) -> bool:
+        value = self.values.get(key, "false")
+        if value not in ("true", "false"):
+            raise self.wrong(key, "true or false")
+        return value == "true"
+
+    def number(self, key: str, default: T, least: float = 0) -> T:
+        text = self.values.get(key)
+        if text is None or text == "":
+            return default
+        try:
+            value = type(default)(text)
+        except ValueError:
+            raise self.wrong(key, "a number") from None
+        if not least <= value < float("inf"):
+            raise self.wrong(key, f"at least {least:g}")
+        return value
+
+    def ports(self, key: str) -> tuple[int, int]:
+        parts = self.text(key).split(",")
+        if len(parts) != 2 or not all(part.isdecimal() and 0 < int(part) < 65536 for part in parts):
+            raise self.wrong(key, "a first and a last port")
+        return int(parts[0]), int(parts[1])
+
+
+def parse(text: str, path: str) -> Settings:
+    """Read a settings file's text. Unknown keys are left alone. Raises SettingsError."""
+    values = {}
+    for number, line in enumerate(text.splitlines(), 1):
+        if not line.strip() or line.lstrip().startswith("#"):
+            continue
+        key, equals, value = line.partition("=")
+        if not equals:
+            raise SettingsError(f"{path}: line {number} is {line.strip()!r}; key=value is wanted")
+        values[key.strip()] = value.strip()
+    lines = Lines(path, values)
+    state_dir = values.get("stateDir")
+    return Settings(
+        node=lines.text("node"), ip=lines.text("ip"), zone=values.get("zone", ""),
+        seeds=lines.addresses("seedPeers"), front=lines.address("listeners.front"),
+        readiness=lines.address("listeners.readiness"), control=lines.address("listeners.control"),
+        internal_ports=lines.ports("internalPorts"), bootstrap=lines.flag("bootstrap"),
+        quorum_member=lines.flag("quorumMember"), state_dir=Path(state_dir) if state_dir else None,
+        memory_mb=lines.number("constraints.memoryMb", 300, 1),
+        file_handles=lines.number("constraints.fileHandles", 1024, 64),
+        machine_losses=lines.number("tolerance.machineLosses", 0),
+        platform=lines.address("platform.address"),
+        platform_per_s=lines.number("platform.ratePerS", 10.0),
+        envelope=Envelope(
+            converge_ms=lines.number("envelope.convergeMs", 3000),
+            drain_deadline_ms=lines.number("envelope.drainDeadlineMs", 3000),
+            grace_period_s=lines.number("envelope.gracePeriodS", 6.0),
+            retry_ratio=lines.number("envelope.retryRatio", 0.2),
+            retry_window_s=lines.number("envelope.retryWindowS", 10.0),
+            retry_slack=lines.number("envelope.retrySlack", 60.0)))
+
+
+def load(environ: Mapping[str, str]) -> Settings:
+    """The settings that the environment names. Raises SettingsError."""
+    path = environ.get(VARIABLE)
+    if not path:
+        raise SettingsError(f"{VARIABLE} is not set; the path of a settings file is wanted")
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as err:
+        raise SettingsError(f"{path}: cannot be read: {err}") from None
+    return parse(text, path)
--- /dev/null
+++ b/cypressbeam/watch.py
@@ -0,0 +1,65 @@
+"""Watching the few others that a node was told of: datagrams there and back, and a word to the root on silence."""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+from collections.abc import Callable
+from typing import Any, cast
+
+PERIOD_S = 0.7
+#: Datagrams get lost; so many in a row do not.
+MISSES = 3
+PACKET = struct.Struct("!BI")
+PING, PONG = 1, 2
+
+
+class Watch(asyncio.DatagramProtocol):
+    """`on_silent` gets the name of a node that has not answered for a while, again and again while it is watched."""
+
+    def __init__(self, port: int, on_silent: Callable[[str], None]) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.port = port
+        self.on_silent = on_silent
+        self.names: dict[str, str] = {}
+        """Names of the watched, by address."""
+        self.missed: dict[str, int] = {}
+        self.transport: asyncio.DatagramTransport | None = None
+        self.number = 0
+
+    async def start(self, ip: str) -> None:
+        await self.loop.create_datagram_endpoint(lambda: self, local_addr=(ip, self.port))
+        self.tick()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def take(self, ips: tuple[str, ...], names: tuple[str, ...]) -> None:
+        self.names = dict(zip(ips, names, strict=True))
+        self.missed = {ip: self.missed.get(ip, 0) for ip in ips}
+
+    def tick(self) -> None:
+        self.loop.call_later(PERIOD_S, self.tick)
+        self.number += 1
+        for ip, name in self.names.items():
+            if self.missed[ip] >= MISSES:
+                self.on_silent(name)
+            self.missed[ip] += 1
+            self.send(PING, self.number, (ip, self.port))
+
+    def send(self, kind: int, number: int, to: tuple[str, int]) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.sendto(PACKET.pack(kind, number), to)
+
+    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        if len(data) != PACKET.size:
+            return
+        kind, number = PACKET.unpack(data)
+        if kind == PING:
+            self.send(PONG, number, (addr[0], addr[1]))
+        elif addr[0] in self.missed:
+            self.missed[addr[0]] = 0
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
--- a/mallowworks/carrier.py
+++ b/mallowworks/carrier.py
@@ -122,6 +122,10 @@
         """Headers of a refusal that tell the client when to come back."""
         return [(b"Retry-After", b"%.3f" % (retry_after_us / 1e6))] if retry_after_us > 0 else []
 
+    def refusal(self, request: Request, retry_after_us: int) -> Answer:
+        """The answer to a request that may be sent again."""
+        return Answer(503, self.advice(retry_after_us))
+
     def failure(self, request: Request) -> Answer:
         """The answer to a request that has failed, and may have run."""
         return Answer(504 if request.last_ending is it.Ending.TIMEOUT else 502)
@@ -213,7 +217,7 @@
         elif isinstance(action, it.Refuse):
             request = self.requests.get(action.request)
             if request is not None:
-                self.finish(request, Answer(503, self.advice(action.retry_after_us)))
+                self.finish(request, self.refusal(request, action.retry_after_us))
         elif isinstance(action, it.Fail):
             request = self.requests.get(action.request)
             if request is not None:
--- a/pepperrelay/balancer.py
+++ b/pepperrelay/balancer.py
@@ -19,9 +19,7 @@
 FALSE_TIMEOUTS = 0.001
 PADDING = 2.0
 MIN_SAMPLES = 300
-# Retries: tokens earned by each first try (a share of traffic) and the most that may be saved up.
-RETRY_SHARE = 0.1
-RETRY_BURST = 20.0
+# Retries of one request, at most; its settings and class may allow fewer.
 RETRIES_EACH = 2
 # Back-off: full jitter up to the base, doubling with each retry, at most the cap (microseconds).
 BACKOFF_BASE_US = 10_000
@@ -347,7 +345,9 @@
         self.requests: dict[str, Request] = {}
         self.percentiles = {kind.name: Percentile() for kind in settings.classes}
         self.hints: dict[str, float] = {}
-        self.budget = TokenBucket(RETRY_BURST)
+        self.budget = TokenBucket(settings.retry_burst)
+        if settings.retry_from_empty:
+            self.budget.tokens = 0.0
         self.throttle = Throttle()
         self.crossing = Crossing(settings.prices.cross_zone)
         # This proxy's part of each tenant's share; one without a share has no bound.
@@ -405,6 +405,8 @@
                 self.close(request)
         elif isinstance(event, it.StreamBegan):
             self.on_stream(event)
+        elif isinstance(event, it.SettingsChanged):
+            self.on_settings(event.settings)
         elif isinstance(event, it.ProbeEnded) and event.server in self.servers:
             self.servers[event.server].learn(event.report)
         return self.actions
@@ -446,6 +448,19 @@
             self.logged[reason] = self.now_us
             self.actions.append(it.Log(text))
 
+    def on_settings(self, settings: it.Settings) -> None:
+        """Other classes or figures. What was learned of servers and of classes that stay is kept."""
+        kinds = {request.kind.name: request.kind for request in self.requests.values()}
+        kinds |= {kind.name: kind for kind in settings.classes}
+        self.settings, self.kinds = settings, kinds
+        self.percentiles = {name: self.percentiles.get(name) or Percentile() for name in kinds}
+        self.demand.asked = {name: self.demand.asked.get(name, 0.0) for name in kinds}
+        self.budget.most = settings.retry_burst
+        self.budget.earn(0.0)
+        self.crossing.least_gain = CROSSING_GAIN * settings.prices.cross_zone
+        self.phase = (settings.me * 0.6180339887498949) % 1.0
+        self.lay_out()
+
     # -- membership ------------------------------------------------------------------------------------
 
     def on_list(self, event: it.ListChanged) -> None:
@@ -481,12 +496,16 @@
         # Trouble: where weights are live, lists come every second and seldom change who serves; to lay out a
         # large fleet anew for each cost more than all requests.
         if moved:
-            self.homes.clear()
-            self.homes_before.clear()
-            live = [s for s in self.servers.values() if not s.told_gone]
-            self.pool = self.working_set(live)
-            self.sharers = self.settings.proxies * len(self.pool) / max(len(live), 1)
-            self.refresh_all()
+            self.lay_out()
+
+    def lay_out(self) -> None:
+        """Which servers this proxy uses, anew."""
+        self.homes.clear()
+        self.homes_before.clear()
+        live = [s for s in self.servers.values() if not s.told_gone]
+        self.pool = self.working_set(live)
+        self.sharers = self.settings.proxies * len(self.pool) / max(len(live), 1)
+        self.refresh_all()
 
     def working_set(self, live: list[Server]) -> list[Server]:
         """The servers that this proxy sends first tries to: all, unless the proxies are many.
@@ -519,7 +538,7 @@
             return
         request = self.requests[event.request] = Request(event, kind, self.now_us)
         if not event.is_repeat:
-            self.budget.earn(RETRY_SHARE)
+            self.budget.earn(self.settings.retry_share)
         if event.hint_us:
             self.hints[kind.name] = smooth(self.hints.get(kind.name), event.hint_us, 0.02)
         work_us = self.hints.get(kind.name) or self.percentiles[kind.name].above(QUICK_SHARE) or 1.0
@@ -622,8 +641,9 @@
 
     def after_failure(self, request: Request) -> None:
         retries = len(request.attempts)
+        most = request.kind.tries or self.settings.max_attempts
         ran = request.first_that_may_have_run()
-        if (request.arrived.is_repeat or retries > RETRIES_EACH or retries >= self.settings.max_attempts
+        if (request.arrived.is_repeat or retries > RETRIES_EACH or retries >= most
                 or (request.kind.repeat is Repeat.UNSAFE and ran is not None)):
             return self.end(request)
         cap_us = min(BACKOFF_CAP_US, BACKOFF_BASE_US << (retries - 1))
@@ -903,7 +923,7 @@
         """Every send passes here: rules 2 to 4, and whether the server may be sent anything at all."""
         if request.closed or self.now_us >= request.arrived.give_up_at_us or server.told_gone:
             return False
-        if len(request.attempts) >= self.settings.max_attempts:
+        if len(request.attempts) >= (request.kind.tries or self.settings.max_attempts):
             return False
         if request.out and not self.settings.may_overlap:
             return False
--- a/pepperrelay/interface.py
+++ b/pepperrelay/interface.py
@@ -93,6 +93,8 @@
     late_worth: float = 0.0
     streamed: bool = False
     aim_stretch: float = 0.0
+    tries: int = 0
+    """The most servers that a request may go to; 0: as the settings say for all."""
 
     def __post_init__(self) -> None:
         owner = f"classes[{self.name}]"
@@ -101,6 +103,7 @@
         _whole(owner, "aim_us", self.aim_us, 1)
         _whole(owner, "deadline_us", self.deadline_us, 1)
         _whole(owner, "window_us", self.window_us)
+        _whole(owner, "tries", self.tries)
         _figure(owner, "worth", self.worth)
         _figure(owner, "late_worth", self.late_worth)
         _figure(owner, "aim_stretch", self.aim_stretch)
@@ -153,6 +156,11 @@
     answer_slack_us: int = 0
     tick_us: int = 1000
     tenants: Mapping[str, float] = field(default_factory=dict)
+    retry_share: float = 0.1
+    """Retry tokens earned by each first try, and the most that may be saved up."""
+    retry_burst: float = 20.0
+    retry_from_empty: bool = False
+    """A budget that holds over many proxies: one that starts anew has nothing saved up."""
 
     def __post_init__(self) -> None:
         if not self.classes:
@@ -169,6 +177,8 @@
                      "answer_slack_us"):
             _whole("settings", name, getattr(self, name))
         _whole("settings", "tick_us", self.tick_us, 1)
+        _figure("settings", "retry_share", self.retry_share)
+        _figure("settings", "retry_burst", self.retry_burst)
         _figure("settings", "cold_share", self.cold_share)
         if self.cold_share > 1:
             raise ValueError(f"settings.cold_share: at most 1, not {self.cold_share!r}")
@@ -259,7 +269,14 @@
     data: bytes
 
 
-Event = (ListChanged | RequestArrived | StreamBegan | AttemptEnded | ClientGone | ProbeEnded
+@dataclass(frozen=True, slots=True)
+class SettingsChanged:
+    """Other classes or figures from now on. Requests in hand keep the class that they came in with."""
+
+    settings: Settings
+
+
+Event = (SettingsChanged | ListChanged | RequestArrived | StreamBegan | AttemptEnded | ClientGone | ProbeEnded
          | TimerFired | MessageCame)
 
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -10,6 +10,9 @@
 from pepperrelay import balancer
 from tests.driver import ANYWHERE, MS, SAFE, UNSAFE, Driver, S, entry, settings
 
+PLAIN = settings()
+BURST, SHARE = PLAIN.retry_burst, PLAIN.retry_share
+
 
 def driver(*names: str, **changes: object) -> Driver:
     d = Driver(settings(**changes))
@@ -68,10 +71,10 @@
 
 
 def test_budget_by_hand() -> None:
-    budget = balancer.TokenBucket(balancer.RETRY_BURST)
-    assert sum(budget.spend(S) for _ in range(50)) == balancer.RETRY_BURST
-    for _ in range(math.ceil(2 / balancer.RETRY_SHARE) + 1):
-        budget.earn(balancer.RETRY_SHARE)
+    budget = balancer.TokenBucket(BURST)
+    assert sum(budget.spend(S) for _ in range(50)) == BURST
+    for _ in range(math.ceil(2 / SHARE) + 1):
+        budget.earn(SHARE)
     assert [budget.spend(S) for _ in range(3)] == [True, True, False]
 
 
