--- a/cypressbeam/__main__.py
+++ b/cypressbeam/__main__.py
@@ -38,10 +38,16 @@
 
 
 def main() -> int:
-    if sys.argv[1:] != ["node"]:
-        print("usage: python -m cypressbeam node", file=sys.stderr)
-        return 2
-    return run_node()
+    words = sys.argv[1:]
+    if words == ["node"]:
+        return run_node()
+    if words == ["up"]:
+        from lab.up import up  # not loaded by a node
+
+        uvloop.run(up())
+        return 0
+    print("usage: python -m cypressbeam node | up", file=sys.stderr)
+    return 2
 
 
 if __name__ == "__main__":
--- a/cypressbeam/configuration.py
+++ b/cypressbeam/configuration.py
@@ -78,7 +78,7 @@
     stream = io.BytesIO(body)
     try:
         value: object = cbor2.load(stream)
-    except (ValueError, EOFError, RecursionError, OverflowError, TypeError) as err:
+    except (cbor2.CBORError, ValueError, RecursionError, OverflowError, TypeError) as err:
         raise Invalid(f"no CBOR: {err}") from None
     if stream.tell() != len(body):
         raise Invalid("bytes behind the CBOR item")
--- a/mallowworks/discovery.py
+++ b/mallowworks/discovery.py
@@ -192,11 +192,15 @@
             self.reader, self.writer = await asyncio.open_connection(*self.address)
 
     async def get(self, path: str, timeout_s: float) -> Answer:
+        return await self.call(f"GET {path} HTTP/1.1\r\nHost: {self.host}\r\n\r\n".encode(), timeout_s)
+
+    async def call(self, message: bytes, timeout_s: float) -> Answer:
+        """Send a whole request and read its answer."""
         assert self.writer is not None
         async with asyncio.timeout(timeout_s):
             if self.writer.is_closing():
                 raise ConnectionResetError("the connection was closed")
-            self.writer.write(f"GET {path} HTTP/1.1\r\nHost: {self.host}\r\n\r\n".encode())
+            self.writer.write(message)
             response = ResponseReader(MOST_LIST_BYTES)
             while not response.complete:
                 data = await self.reader.read(65536)
--- /dev/null
+++ b/tests/test_chain.py
@@ -0,0 +1,131 @@
+"""The chain's rules, driven without sockets or disk."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+
+from cypressbeam import frames
+from cypressbeam.chain import Action, Entry, Member, Publish, Sync, Tell, View
+
+VIEW = View(1, ("a", "b", "c"))
+
+
+def revision(body: bytes) -> int:
+    return int(body.split(b":")[0])
+
+
+class Chain:
+    """Three members on a network that a seed may let lose, double and reorder messages."""
+
+    def __init__(self, seed: int = 0, trouble: float = 0.0) -> None:
+        self.chance, self.trouble = random.Random(seed), trouble
+        self.members = {ip: Member(ip, VIEW, revision, lambda body: body) for ip in VIEW.members}
+        self.disks: dict[str, list[Entry]] = {ip: [] for ip in VIEW.members}
+        self.waiting: deque[tuple[str, frames.Frame | Entry]] = deque()
+        self.answers: dict[int, int] = {}
+        self.published: list[int] = []
+        self.now_s = 0.0
+
+    def order(self, ident: int, base: int, body: bytes) -> None:
+        self.waiting.append(("a", frames.Order(ident, "client", base, body)))
+
+    def carry_out(self, ip: str, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Tell):
+                if action.ip == "client":
+                    assert isinstance(action.frame, frames.Outcome)
+                    self.answers.setdefault(action.frame.ident, action.frame.status)
+                elif self.chance.random() >= self.trouble:
+                    for _ in range(1 + (self.chance.random() < self.trouble)):
+                        self.waiting.append((action.ip, action.frame))
+            elif isinstance(action, Sync):
+                self.waiting.append((ip, action.entry))
+            else:
+                assert isinstance(action, Publish)
+                assert all(action.entry in self.disks[other] for other in VIEW.members)
+                self.published.append(action.entry.revision)
+
+    def step(self) -> None:
+        if self.chance.random() < self.trouble:
+            self.waiting.rotate(1)
+        ip, what = self.waiting.popleft()
+        member = self.members[ip]
+        if isinstance(what, Entry):
+            self.disks[ip].append(what)
+            self.carry_out(ip, member.synced(what, self.now_s))
+        elif isinstance(what, frames.Order):
+            self.carry_out(ip, member.order(what, self.now_s))
+        elif isinstance(what, frames.Forward):
+            self.carry_out(ip, member.forward(what, self.now_s))
+        elif isinstance(what, frames.Committed):
+            self.carry_out(ip, member.commit(what, self.now_s))
+
+    def run(self) -> None:
+        for _ in range(2000):
+            while self.waiting:
+                self.step()
+            if not any(member.number > member.committed or member.waiting for member in self.members.values()):
+                return
+            self.now_s += 0.5
+            for ip, member in self.members.items():
+                self.carry_out(ip, member.tick(self.now_s))
+        raise AssertionError("the chain did not come to rest")
+
+
+def test_an_order_is_on_every_disk_before_it_is_answered() -> None:
+    chain = Chain()
+    chain.order(1, 0, b"5:x")
+    chain.run()
+    assert chain.answers == {1: 200} and chain.published == [5]
+    assert [member.committed for member in chain.members.values()] == [1, 1, 1]
+
+
+def test_of_two_on_one_base_one_wins_and_the_same_again_is_taken() -> None:
+    chain = Chain()
+    chain.order(1, 0, b"5:x")
+    chain.order(2, 0, b"6:y")
+    chain.order(3, 0, b"5:x")
+    chain.run()
+    chain.order(4, 5, b"9:z")
+    chain.order(5, 0, b"5:x")  # taken, though a later one is in force by now
+    chain.order(6, 9, b"9:other")
+    chain.order(7, 9, b"7:old")
+    chain.run()
+    assert chain.answers == {1: 200, 2: 412, 3: 200, 4: 200, 5: 200, 6: 400, 7: 400}
+    assert chain.published == [5, 9]
+
+
+def test_nothing_is_lost_or_undone_where_messages_are_lost_doubled_and_reordered() -> None:
+    for seed in range(200):
+        chain = Chain(seed, trouble=0.3)
+        for ident in range(1, 6):
+            chain.order(ident, ident - 1, b"%d:x" % ident)
+            chain.run()
+        assert chain.published == [1, 2, 3, 4, 5]
+        assert all([entry.revision for entry in disk] == [1, 2, 3, 4, 5] for disk in chain.disks.values())
+
+
+def test_a_message_of_another_epoch_is_refused() -> None:
+    member = Member("b", VIEW, revision, lambda body: body)
+    assert member.forward(frames.Forward(2, 1, 5, 0, b"5:x", 1, "client"), 0.0) == []
+    assert member.commit(frames.Committed(0, 1), 0.0) == []
+
+
+def test_a_member_starts_again_from_its_disk() -> None:
+    last = Entry(3, 1, 7, 5, b"7:x")
+    tail = Member("c", VIEW, revision, lambda body: body, last, {7: b"7:x"})
+    assert tail.start(0.0) == [Publish(last)] and tail.committed == 3
+    head = Member("a", VIEW, revision, lambda body: body, last, {7: b"7:x"})
+    assert head.start(0.0) == [Tell("b", frames.Forward(1, 3, 7, 5, b"7:x", 0, ""))]
+    assert head.busy()  # until the tail has said that it has it
+    head.commit(frames.Committed(1, 3), 0.0)
+    assert not head.busy()
+
+
+def test_a_disk_that_refuses_is_no_silence() -> None:
+    member = Member("a", VIEW, revision, lambda body: body)
+    (sync,) = member.order(frames.Order(1, "client", 0, b"5:x"), 0.0)
+    assert isinstance(sync, Sync)
+    assert member.failed(sync.entry, 0.0) == [Tell("client", frames.Outcome(1, 503, "the disk refuses"))]
+    assert member.number == 0 and not member.busy()
--- /dev/null
+++ b/tests/test_gateway_parts.py
@@ -0,0 +1,286 @@
+"""The gateway's pure parts: settings, configuration, routes, frames, roster, list, dialect, budget."""
+
+from __future__ import annotations
+
+import copy
+import random
+from dataclasses import replace
+from typing import Any
+
+import cbor2
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+import pepperrelay as pr
+from cypressbeam import configuration, frames, listing
+from cypressbeam.gate import balancer_settings, request_class
+from cypressbeam.roster import FAN_OUT, Roster
+from cypressbeam.routing import Table
+from cypressbeam.settings import SettingsError, load, parse
+from lab.up import demo_configuration
+from mallowworks.dialect import judge_gate, read_load
+from mallowworks.http import Answer
+from pepperrelay.balancer import Balancer
+
+BOOT = """node=edge-1
+ip=10.1.0.13
+zone=a
+listeners.front=10.1.0.13:8641
+internalPorts=7620,7635
+seedPeers=10.1.0.16:8649,10.2.0.21:8649
+bootstrap=true
+envelope.retrySlack=60
+something.new=17
+"""
+
+
+def test_settings_are_read_and_unknown_keys_left_alone() -> None:
+    settings = parse(BOOT, "boot.conf")
+    assert settings.front == ("10.1.0.13", 8641) and settings.control is None and settings.bootstrap
+    assert settings.seeds == (("10.1.0.16", 8649), ("10.2.0.21", 8649)) and settings.peer_port == 7620
+    assert settings.envelope.retry_slack == 60 and settings.state_dir is None
+
+
+@pytest.mark.parametrize(("old", "new", "told"), [
+    ("node=edge-1", "node=", "node is ''; a value is wanted"),
+    ("internalPorts=7620,7635", "", "internalPorts is missing"),
+    ("8641", "nowhere", "listeners.front is '10.1.0.13:nowhere'; host:port is wanted"),
+    ("bootstrap=true", "bootstrap=maybe", "bootstrap is 'maybe'; true or false is wanted"),
+    ("retrySlack=60", "retrySlack=-1", "envelope.retrySlack is '-1'; at least 0 is wanted"),
+    ("zone=a", "zone", "line 3 is 'zone'; key=value is wanted")])
+def test_wrong_settings_say_file_key_found_and_wanted(old: str, new: str, told: str) -> None:
+    with pytest.raises(SettingsError, match=r"^boot\.conf: ") as caught:
+        parse(BOOT.replace(old, new, 1), "boot.conf")
+    assert told in str(caught.value) and "\n" not in str(caught.value)
+
+
+def test_settings_that_are_not_named_or_not_there() -> None:
+    for environ in ({}, {"CYPRESSBEAM_BOOT": "/nowhere/boot.conf"}):
+        with pytest.raises(SettingsError):
+            load(environ)
+
+
+def changed(**changes: Any) -> dict[str, Any]:
+    return demo_configuration() | changes
+
+
+def channel(**changes: Any) -> dict[str, Any]:
+    return changed(channels=[demo_configuration()["channels"][0] | changes])
+
+
+def split(*gains: float) -> dict[str, Any]:
+    first = copy.deepcopy(demo_configuration()["channels"][0])
+    del first["plant"]
+    first["allocation"] = [{"plant": name, "gain": gain}
+                           for name, gain in zip(("finder", "booker"), gains, strict=True)]
+    return changed(channels=[first])
+
+
+def test_a_valid_configuration_is_taken() -> None:
+    for document in (demo_configuration(), split(90, 10), split(0, 1), channel(newField=1)):
+        assert configuration.read(cbor2.dumps(document)).revision == 1
+
+
+@pytest.mark.parametrize(("body", "told"), [
+    (cbor2.dumps(demo_configuration())[:-3], "CBOR"),
+    (b"", "CBOR"),
+    (cbor2.dumps(demo_configuration()) + b"\x00", "behind"),
+    (cbor2.dumps([1, 2]), "object"),
+    (cbor2.dumps(channel(plant="nobody")), "unknown service nobody"),
+    (cbor2.dumps(changed(channels=[demo_configuration()["channels"][0]] * 2)), "host and prefix"),
+    (cbor2.dumps(channel(cutoffMs=0)), "cutoffMs"),
+    (cbor2.dumps(channel(prefix="/find")), "slash"),
+    (cbor2.dumps(channel(mode="perhaps")), "mode"),
+    (cbor2.dumps(channel(allocation=[{"plant": "finder", "gain": 1}])), "either"),
+    (cbor2.dumps(split(0, 0)), "weights"),
+    (cbor2.dumps(split(2, -1)), "weights"),
+    (cbor2.dumps(changed(revision=0)), "revision"),
+    (cbor2.dumps(changed(revision="7")), "revision")])
+def test_an_invalid_configuration_is_refused(body: bytes, told: str) -> None:
+    with pytest.raises(configuration.Invalid, match=told):
+        configuration.read(body)
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_a_configuration_or_invalid(body: bytes) -> None:
+    with pytest.raises(configuration.Invalid):
+        configuration.read(body)
+
+
+def test_routes_by_host_and_longest_prefix() -> None:
+    document = demo_configuration()
+    first = document["channels"][0]
+    document["channels"] += [first | {"label": "deep", "prefix": "/find/deep/"},
+                             first | {"label": "other", "host": "Other.example"}]
+    table = Table(configuration.read(cbor2.dumps(document)))
+
+    def label(host: str, path: str) -> str | None:
+        route = table.find(host, path)
+        return route.channel.label if route else None
+
+    assert label("demo.example", "/find/a/b") == "find" and label("demo.example:80", "/find/") == "find"
+    assert label("demo.example", "/find/deep/a") == "deep" and label("demo.example", "/find/deep") == "find"
+    assert label("OTHER.example", "/find/x") == "other"
+    assert label("demo.example", "/find") is None and label("nobody", "/find/a") is None
+    assert label("demo.example", "") is None
+
+
+def test_weights_part_the_requests() -> None:
+    route = Table(configuration.read(cbor2.dumps(split(90, 10)))).find("demo.example", "/find/")
+    assert route is not None
+    chance = random.Random(5)
+    taken = [route.choose(chance) for _ in range(5000)]
+    assert 0.08 < taken.count("booker") / len(taken) < 0.12
+
+
+SAMPLES = [frames.Join("n", "10.0.0.1", "z", 3, 1, ""), frames.Place(2**40, ("a", "b"), (), ("c",), ("d",), 3, 2, 1),
+           frames.News(9, b"\x00" * 300), frames.Beat(1, 2, 3, 4), frames.Order(1, "o", 0, b""),
+           frames.Servers(1, 2, 3, 1, b"x")]
+
+
+@pytest.mark.parametrize("frame", SAMPLES, ids=lambda frame: type(frame).__name__)
+def test_frames_come_back_as_they_went(frame: frames.Frame) -> None:
+    data = frame.pack()
+    length, kind = frames.HEAD.unpack_from(data)
+    assert length == len(data) - frames.HEAD.size
+    assert frames.unpack(kind, data[frames.HEAD.size:]) == frame
+    for wrong in (data[frames.HEAD.size:-1], data[frames.HEAD.size:] + b"\x00"):
+        with pytest.raises(frames.FrameError):
+            frames.unpack(kind, wrong)
+
+
+@given(st.integers(0, 30), st.binary(max_size=120))
+def test_any_bytes_are_a_frame_or_an_error(kind: int, body: bytes) -> None:
+    try:
+        frame = frames.unpack(kind, body)
+    except frames.FrameError:
+        return
+    assert frame.pack()[frames.HEAD.size:] == body
+
+
+@given(st.binary(max_size=120))
+def test_any_bytes_are_rows_or_an_error(data: bytes) -> None:
+    try:
+        rows = listing.unpack_rows(data)
+    except frames.FrameError:
+        return
+    assert listing.unpack_rows(listing.pack_rows(rows)) == rows
+
+
+def server(ident: str, **changes: Any) -> listing.Server:
+    return replace(listing.Server(ident, "p", ("10.0.0.1", 80), "z", 4, listing.IN_SERVICE, 0), **changes)
+
+
+def test_the_list_goes_down_as_changes_and_as_a_whole() -> None:
+    root, child, late = listing.Listing(7), listing.Listing(), listing.Listing()
+    first = root.poll([server("a", warmup_ms=900), server("b")])
+    assert first is not None and child.apply(root.whole()) and child.servers == root.servers
+    assert root.poll([server("a", warmup_ms=100), server("b")]) is None  # a warm-up that runs on is no news
+    second = root.poll([server("b", state=listing.DRAINING), server("c")])
+    assert second is not None
+    assert late.apply(second) is None  # it does not follow on nothing: the whole is asked for
+    assert child.apply(second) and child.servers == root.servers
+    assert set(child.servers) == {"b", "c"} and child.servers["b"].state == listing.DRAINING
+    assert child.apply(second) is False and late.apply(root.whole()) and late.servers == child.servers
+    other = listing.Listing(8)
+    other.poll([server("d")])
+    assert child.apply(other.whole()) and set(child.servers) == {"d"}
+
+
+@pytest.mark.parametrize("nodes", [1, 10, 300])
+def test_trees_reach_all_without_a_circle(nodes: int) -> None:
+    roster = Roster("root")
+    for i in range(nodes):
+        roster.join(frames.Join(f"n{i}", f"10.0.{i // 250}.{i % 250}", f"z{i % 3}", frames.FRONT, 0, ""), 0.0)
+    places = {known.ip: roster.place(name, 1, ("t",), "root") for name, known in roster.nodes.items()}
+    children: dict[str, int] = {}
+    for ip, place in places.items():
+        up, hops = ip, 0
+        while up != "root":
+            up, hops = places[up].parents[0], hops + 1
+            assert hops <= nodes
+        children[place.parents[0]] = children.get(place.parents[0], 0) + 1
+        assert place.parents[-1] == "root" and place.fronts == nodes and ip not in place.watches
+    assert all(count <= FAN_OUT for ip, count in children.items() if ip != "root")
+    assert children["root"] <= 3  # one for each zone
+
+
+def test_a_lost_parent_gets_no_children_until_it_joins_again() -> None:
+    roster = Roster("root")
+    joins = [frames.Join(f"n{i}", f"10.0.0.{i}", "z", frames.FRONT, 1, "") for i in range(4)]
+    for join in joins:
+        roster.join(join, 0.0)
+    first = roster.order("z")[0]
+    child = next(join for join in joins if join.name != first.name)
+    assert roster.place(child.name, 1, (), "root").parents[0] == first.ip
+    roster.join(replace(child, lost=first.ip), 1.0)
+    assert first.ip not in roster.place(child.name, 1, (), "root").parents
+    roster.join(next(join for join in joins if join.name == first.name), 2.0)
+    assert roster.place(child.name, 1, (), "root").parents[0] == first.ip
+    assert roster.expire(11.5) == [join.name for join in joins if join.name not in (first.name,)]
+
+
+def test_only_proof_counts_as_not_run() -> None:
+    proof = [(b"Not-Executed", b"1")]
+    assert judge_gate(Answer(201)) is pr.Ending.OK
+    assert judge_gate(Answer(503, proof)) is pr.Ending.FULL and judge_gate(Answer(429, proof)) is pr.Ending.FULL
+    assert judge_gate(Answer(421)) is pr.Ending.CONNECT_FAILED
+    for status in (503, 429, 500, 504):
+        assert judge_gate(Answer(status)) is pr.Ending.ERROR
+
+
+def test_the_load_header() -> None:
+    report = read_load(b"3, 2,4")
+    assert report is not None and (report.in_flight, report.queue, report.utilization) == (3.0, 2.0, 0.75)
+    assert read_load(b"3,2") is None and read_load(b"a,b,c") is None and read_load(None) is None
+
+
+def test_retries_of_the_fleet_keep_within_the_budget_at_any_number_of_nodes() -> None:
+    """What all nodes together may send again in a window: never more than the ratio and the slack allow."""
+    channels = list(configuration.read(cbor2.dumps(demo_configuration())).channels[:1])
+    for nodes in (1, 3, 10, 100):
+        settings = balancer_settings(channels, parse(BOOT, "boot.conf"), nodes, 0)
+        budgets = [Balancer(settings, seed).budget for seed in range(nodes)]
+        assert not any(budget.spend(0) for budget in budgets)  # a node that starts has nothing saved up
+        for budget in budgets:
+            for _ in range(10_000):
+                budget.earn(settings.retry_share)
+        spent, first_tries = 0, 0
+        for budget in budgets:
+            for _ in range(40):
+                budget.earn(settings.retry_share)
+                first_tries += 1
+                while budget.spend(0):
+                    spent += 1
+        assert spent <= 0.2 * first_tries + 60
+
+
+def test_other_settings_keep_what_was_learned_and_requests_in_hand() -> None:
+    channels = list(configuration.read(cbor2.dumps(demo_configuration())).channels)
+    old = balancer_settings(channels[:1], parse(BOOT, "boot.conf"), 10, 0)
+    balancer = Balancer(old, 1)
+    balancer.handle(0, pr.ListChanged(1, pr.ListScope.WHOLE, (pr.ServerEntry("s1"), pr.ServerEntry("s2"))))
+    kind = old.classes[0].name
+    (send,) = (a for a in balancer.handle(1, pr.RequestArrived("r", kind, 5_000_000)) if isinstance(a, pr.Send))
+    new = balancer_settings(channels[1:], parse(BOOT, "boot.conf"), 20, 0)
+    balancer.handle(2, pr.SettingsChanged(new))
+    ended = pr.AttemptEnded("r", 0, send.server, pr.Ending.OK, 2000, True)
+    balancer.handle(3, ended)
+    assert balancer.servers[send.server].latency_us == 2000 and not balancer.requests
+    assert balancer.budget.most == old.retry_burst / 2
+    assert any(isinstance(a, pr.Send)
+               for a in balancer.handle(4, pr.RequestArrived("r2", new.classes[0].name, 5_000_000)))
+
+
+def test_a_route_caps_the_servers_that_one_request_may_go_to() -> None:
+    (first, _) = configuration.read(cbor2.dumps(channel(tries=1) | {"plants": demo_configuration()["plants"]})
+                                    ).channels * 2
+    assert request_class(first).tries == 1
+    balancer = Balancer(balancer_settings([first], parse(BOOT, "boot.conf"), 1, 0), 1)
+    balancer.budget.tokens = 5.0
+    balancer.handle(0, pr.ListChanged(1, pr.ListScope.WHOLE, (pr.ServerEntry("s1"), pr.ServerEntry("s2"))))
+    kind = request_class(first).name
+    (send,) = (a for a in balancer.handle(1, pr.RequestArrived("r", kind, 5_000_000)) if isinstance(a, pr.Send))
+    actions = balancer.handle(2, pr.AttemptEnded("r", 0, send.server, pr.Ending.RESET, 1, False))
+    assert any(isinstance(a, pr.Refuse) for a in actions)
