Keep heavy bodies in their zone while a server there has room

Now a body of 16 KB or more ranks servers near by first, and a crossing weighs 0.3 of a request in place of 0.1.

--- a/cypressbeam/gate.py
+++ b/cypressbeam/gate.py
@@ -32,7 +32,9 @@
 RATIO_USED = 0.8
 SLACK_USED = 0.6
 #: How dear a crossing between zones is taken to be, as a share of a request's worth.
-CROSSING = 0.1
+CROSSING = 0.3
+#: A body of so many bytes goes to another zone only where no server near by has room.
+HEAVY_BYTES = 16_000
 #: A started server: the share of its speed that it begins with, and the time to come up.
 COLD_SHARE = 0.5
 COLD_US = 3_000_000
@@ -169,7 +171,8 @@
         if self.knows(ident):
             raise BadRequest(400, f"Attempt-Id: {ident} is still in hand")
         service = route.choose(self.chance)
-        arrived = it.RequestArrived(ident, route.kind, self.give_up_at(message, found, route))
+        arrived = it.RequestArrived(ident, route.kind, self.give_up_at(message, found, route),
+                                    is_heavy=len(message.body) >= HEAVY_BYTES)
         connection.request = ident
         self.take(Request(self.desks[service], arrived, pass_on(message, named, GATE), message.body,
                           connection.respond, no_body=message.method == b"HEAD"))
--- a/pepperrelay/balancer.py
+++ b/pepperrelay/balancer.py
@@ -698,7 +698,7 @@
     def choose(self, request: Request) -> Server | None:
         """The best of all servers, or, where many proxies share them, of some drawn by capacity."""
         self.drawn = ""
-        if self.sharers < MANY_SHARE:
+        if self.sharers < MANY_SHARE or request.arrived.is_heavy:
             return self.best(request, self.pool)
         return self.best(request, self.draw(request)) or self.best(request, self.pool)
 
@@ -780,7 +780,8 @@
             elif name == home:
                 score *= HOME
                 away = False
-            ranked.append((name in tried, server.unwell and not self.due(server), score, name, away))
+            far = request.arrived.is_heavy and server.entry.zone != self.settings.zone
+            ranked.append((name in tried, server.unwell and not self.due(server), far, score, name, away))
         ranked.sort()
         allowed = 0
         well_servers = 0
@@ -788,7 +789,7 @@
         crowded: Server | None = None
         stuck: Server | None = None
         room_us = math.inf
-        for _, unwell, _, name, away in ranked:
+        for _, unwell, _, _, name, away in ranked:
             server = self.servers[name]
             if unwell and well_servers:
                 break  # well but busy servers are no reason to send work to one that does not answer
--- a/pepperrelay/interface.py
+++ b/pepperrelay/interface.py
@@ -224,6 +224,8 @@
     hint_us: int | None = None
     is_repeat: bool = False
     is_write: bool = False
+    is_heavy: bool = False
+    """So large that it should leave its zone only where no server near by has room."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -284,3 +284,20 @@
     (send,) = (a for a in balancer.handle(1, pr.RequestArrived("r", kind, 5_000_000)) if isinstance(a, pr.Send))
     actions = balancer.handle(2, pr.AttemptEnded("r", 0, send.server, pr.Ending.RESET, 1, False))
     assert any(isinstance(a, pr.Refuse) for a in actions)
+
+
+def test_a_heavy_request_leaves_its_zone_only_where_no_server_near_by_has_room() -> None:
+    channels = list(configuration.read(cbor2.dumps(demo_configuration())).channels)
+    settings = balancer_settings(channels, parse(BOOT, "boot.conf"), 3, 0)
+    balancer = Balancer(settings, 1)
+    entries = (pr.ServerEntry("near", "a"), pr.ServerEntry("far", "b"))
+    balancer.handle(0, pr.ListChanged(1, pr.ListScope.WHOLE, entries))
+    kind = settings.classes[1].name
+    for number in range(4):  # the one near by has more in hand than the rank alone would allow
+        request = pr.RequestArrived(f"r{number}", kind, 5_000_000, is_heavy=True)
+        (send,) = (a for a in balancer.handle(number, request) if isinstance(a, pr.Send))
+        assert send.server == "near"
+    balancer.handle(10, pr.ListChanged(2, pr.ListScope.WHOLE, entries[1:]))
+    (send,) = (a for a in balancer.handle(11, pr.RequestArrived("last", kind, 5_000_000, is_heavy=True))
+               if isinstance(a, pr.Send))
+    assert send.server == "far"
