Agree on the view and mend the chain by promises of a majority

A root that reaches no majority resigns. A machine with an empty disk is another one until a view has taken it in. Reads wait for a majority's word on the epoch.

--- /dev/null
+++ b/cypressbeam/agreement.py
@@ -0,0 +1,523 @@
+"""How the core agrees on its view, and mends the chain. Pure: frames, ticks and finished writes in, actions out.
+
+A view is (epoch, chain, group). To make the next one a proposer asks the group to promise its epoch; a promise is on
+disk before it is given, and seals all lower epochs at that member. Of the entries that a majority tells, the newest
+(by epoch, then number) is what the new chain begins with: an entry is committed once every member of a chain has it,
+a chain holds at least `copies` members and with them a majority of the group, so any other majority has met it. Each
+member of the new chain puts view and entry on disk in one write; the view is active once all have said so.
+
+Sources: Vertical Paxos (Lamport, Malkhi, Zhou, 2009) for mending a chain by views; Paxos for the promise.
+
+Invariants: a promise never goes down, and survives on disk; two views of one epoch are never active with different
+chains; what a view begins with is at least as new as all that was ever committed; a machine that lost its disk is
+in no majority until a view has taken it in under its new identity; no chain has fewer than `copies` members.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cypressbeam import chain, frames
+from cypressbeam.chain import Entry, Member, Sync, Tell, View, ip_of
+
+#: Members tell each other that they live this often, and are taken for lost after such a silence.
+PULSE_S = 0.3
+DEAD_S = 1.0
+#: What is wrong with the view must stay wrong for so long before somebody mends it; those further down the group wait
+#: longer, so that as a rule one proposes.
+WRONG_S = 0.25
+STAGGER_S = 0.3
+#: A proposer waits so long for more promises than it needs, and for its view to become active.
+GATHER_S = 0.3
+PROPOSAL_S = 1.2
+#: A write that has not come back by then is a disk that does not work, until it does.
+STALL_S = 1.0
+#: A disk that refused a write is tried again after so long.
+TRY_DISK_S = 1.0
+#: A read waits so long for a majority's word.
+CONFIRM_S = 0.8
+#: Digests of versions that are passed on to a new chain.
+TAKEN_KEPT = 1000
+TAKEN = struct.Struct("!Q32s")
+
+
+@dataclass(frozen=True, slots=True)
+class SavePromise:
+    """Put a promise on disk, then say so by `promise_saved`."""
+
+    epoch: int
+    proposer: str
+    """Its address."""
+
+
+@dataclass(frozen=True, slots=True)
+class SaveView:
+    """Put a view and what it begins with on disk, in one write, then say so by `view_saved`."""
+
+    view: View
+    entry: Entry | None
+    taken: dict[int, bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class Lead:
+    """Be the root of the relays from now on, or no more."""
+
+    root: bool
+
+
+@dataclass(frozen=True, slots=True)
+class TryDisk:
+    """Write something, to see whether a disk that refused a write takes them again; then say so by `disk_tried`."""
+
+
+Action = chain.Action | SavePromise | SaveView | Lead | TryDisk
+
+
+@dataclass(slots=True)
+class Heard:
+    """The last pulse of a member."""
+
+    name: str
+    epoch: int
+    promised: int
+    disk: bool
+    at_s: float
+
+
+@dataclass(slots=True)
+class Proposal:
+    epoch: int
+    group: tuple[str, ...]
+    began_s: float
+    promises: dict[str, frames.Promise] = field(default_factory=dict)
+    enough_s: float = 0.0
+    sent: bool = False
+
+
+@dataclass(slots=True)
+class Asked:
+    """A read that waits for a majority's word that the epoch still holds."""
+
+    frame: frames.Read
+    due_s: float
+    names: set[str]
+
+
+def pack_taken(taken: dict[int, bytes]) -> bytes:
+    kept = sorted(taken.items())[-TAKEN_KEPT:]
+    return b"".join(TAKEN.pack(revision, digest) for revision, digest in kept)
+
+
+def unpack_taken(data: bytes) -> dict[int, bytes]:
+    """Raises FrameError."""
+    if len(data) % TAKEN.size:
+        raise frames.FrameError("digests end within one")
+    return dict(TAKEN.iter_unpack(data))
+
+
+class Keeper:
+    """One machine with a disk: its part in agreeing on views, and its member of the chain."""
+
+    def __init__(self, name: str, copies: int, check: Callable[[bytes], int], digest: Callable[[bytes], bytes],
+                 jitter: Callable[[], float]) -> None:
+        self.name = name
+        self.ip = ip_of(name)
+        self.copies = copies
+        self.check = check
+        self.digest = digest
+        self.jitter = jitter
+        self.view: View | None = None
+        """The newest that this machine knows of; it may have no place in it."""
+        self.promised = 0
+        self.seen_epoch = 0
+        self.member: Member | None = None
+        self.last: Entry | None = None
+        self.taken: dict[int, bytes] = {}
+        self.heard: dict[str, Heard] = {}
+        """By address."""
+        self.proposal: Proposal | None = None
+        self.accepting: View | None = None
+        self.wrong_since_s: float | None = None
+        self.pulse_due_s = 0.0
+        self.root = False
+        self.writes: list[float] = []
+        """When the writes that have not come back were begun."""
+        self.disk_failed_s: float | None = None
+        self.reads: dict[int, Asked] = {}
+
+    # -- start ---------------------------------------------------------------------------------------------
+
+    def load(self, view: View | None, promised: int, last: Entry | None, taken: dict[int, bytes],
+             now_s: float) -> list[Action]:
+        """What was on disk at the start."""
+        self.promised, self.last, self.taken = promised, last, taken
+        self.seen_epoch = promised
+        if view is not None:
+            self.hold(view)
+        return self.tick(now_s)
+
+    def found(self, view: View, now_s: float) -> list[Action]:
+        """The founding view: the first one proposed to a machine that has none is taken up."""
+        if self.view is not None or self.accepting is not None or self.promised or self.name not in view.chain:
+            return []
+        return self.accept_view(view, None, {}, now_s)
+
+    def hold(self, view: View) -> None:
+        """This machine has put a view on disk, or finds it there."""
+        self.view = view
+        self.seen_epoch = max(self.seen_epoch, view.epoch)
+        self.member = None
+        if self.name in view.chain:
+            self.member = Member(self.ip, view, self.check, self.digest, self.last, self.taken)
+            self.member.sealed = self.promised > view.epoch
+
+    # -- what is known -------------------------------------------------------------------------------------
+
+    def disk_works(self, now_s: float) -> bool:
+        stalled = bool(self.writes) and now_s - self.writes[0] > STALL_S
+        return not stalled and self.disk_failed_s is None
+
+    def majority(self, group: tuple[str, ...]) -> int:
+        return len(group) // 2 + 1
+
+    def present(self, name: str, now_s: float) -> bool:
+        """Whether a member lives and its disk works, as far as is known here."""
+        if name == self.name:
+            return self.disk_works(now_s)
+        heard = self.heard.get(ip_of(name))
+        return heard is not None and heard.name == name and heard.disk and now_s - heard.at_s <= DEAD_S
+
+    def reached(self, now_s: float) -> int:
+        """How many of the group were heard lately, this machine with them."""
+        if self.view is None:
+            return 0
+        return sum(1 for name in self.view.group if name == self.name or
+                   ((heard := self.heard.get(ip_of(name))) is not None and heard.name == name
+                    and now_s - heard.at_s <= DEAD_S))
+
+    def leads(self, now_s: float) -> bool:
+        """Whether this machine's word on the state counts now: its view is active, and a majority is in reach."""
+        member = self.member
+        return (member is not None and member.active and not member.sealed and self.view is not None
+                and self.reached(now_s) >= self.majority(self.view.group))
+
+    def newcomers(self, now_s: float) -> dict[str, str]:
+        """Machines of the group that came back as others, with empty disks: new names by old ones."""
+        assert self.view is not None
+        found = {}
+        for name in self.view.group:
+            heard = self.heard.get(ip_of(name))
+            if heard is not None and heard.name != name and heard.disk and now_s - heard.at_s <= DEAD_S:
+                found[name] = heard.name
+        return found
+
+    # -- upkeep --------------------------------------------------------------------------------------------
+
+    def tick(self, now_s: float) -> list[Action]:
+        actions: list[Action] = []
+        if now_s >= self.pulse_due_s:
+            actions += self.pulse(now_s)
+        if self.disk_failed_s is not None and now_s - self.disk_failed_s > TRY_DISK_S and not self.writes:
+            self.writes.append(now_s)
+            actions.append(TryDisk())
+        if self.view is None:
+            return actions
+        member = self.member
+        if member is not None:
+            if not member.active and not member.sealed and self.all_hold(now_s):
+                actions += member.activate(now_s)
+            actions += member.tick(now_s)
+        root = member is not None and member.is_tail() and self.leads(now_s)
+        if root is not self.root:
+            self.root = root
+            actions.append(Lead(root))
+        actions += self.conclude(now_s)
+        actions += self.mend(now_s)
+        for ident in [ident for ident, asked in self.reads.items() if now_s > asked.due_s]:
+            del self.reads[ident]
+        return actions
+
+    def all_hold(self, now_s: float) -> bool:
+        """Whether each member of the chain is known to have this view on disk. Nothing is undone by a later
+        promise: activation only says what has been written."""
+        assert self.view is not None
+        return all(name == self.name or ((heard := self.heard.get(ip_of(name))) is not None
+                                         and heard.name == name and heard.epoch == self.view.epoch)
+                   for name in self.view.chain)
+
+    def pulse(self, now_s: float) -> list[Action]:
+        self.pulse_due_s = now_s + PULSE_S
+        if self.view is None:
+            return []
+        frame = self.own_pulse(now_s)
+        return [Tell(ip_of(name), frame) for name in self.view.group if ip_of(name) != self.ip]
+
+    def own_pulse(self, now_s: float) -> frames.Pulse:
+        epoch = self.member.view.epoch if self.member is not None else 0
+        return frames.Pulse(self.name, epoch, self.promised, int(self.disk_works(now_s)))
+
+    def on_pulse(self, frame: frames.Pulse, now_s: float) -> list[Action]:
+        ip = ip_of(frame.name)
+        self.heard[ip] = Heard(frame.name, frame.epoch, frame.promised, bool(frame.disk), now_s)
+        self.seen_epoch = max(self.seen_epoch, frame.promised, frame.epoch)
+        if self.view is not None and frame.epoch < self.view.epoch:
+            view = self.view
+            if frame.name not in view.chain:
+                return [Tell(ip, frames.ViewIs(view.epoch, view.chain, view.group))]
+        elif self.member is not None and not self.member.active:
+            return self.tick(now_s)
+        return []
+
+    def on_view(self, frame: frames.ViewIs, now_s: float) -> list[Action]:
+        """A newer view than this machine holds: it has no place in it, or its write is still under way."""
+        if self.view is not None and frame.epoch <= self.view.epoch:
+            return []
+        self.view = View(frame.epoch, frame.chain, frame.group)
+        self.seen_epoch = max(self.seen_epoch, frame.epoch)
+        self.member = None
+        self.wrong_since_s = None
+        return self.pulse(now_s)
+
+    # -- mending -------------------------------------------------------------------------------------------
+
+    def wrong(self, now_s: float) -> bool:
+        """Whether the view should be another one, as far as this machine can tell."""
+        view = self.view
+        assert view is not None
+        if self.newcomers(now_s):
+            return True
+        wanted = {name for name in view.group if self.present(name, now_s)}
+        if wanted != set(view.chain):
+            return True
+        for name in view.chain:
+            if name == self.name:
+                if self.promised > view.epoch or self.member is None:
+                    return True
+            else:
+                heard = self.heard[ip_of(name)]
+                if heard.promised > view.epoch or heard.epoch != view.epoch:
+                    return True
+        return False
+
+    def mend(self, now_s: float) -> list[Action]:
+        """Propose the next view where this one is wrong for long enough, and a majority is there to decide it."""
+        view = self.view
+        assert view is not None
+        if self.name not in view.group or not self.wrong(now_s):
+            self.wrong_since_s = None
+            return []
+        if self.wrong_since_s is None:
+            self.wrong_since_s = now_s
+        present = [name for name in view.group if self.present(name, now_s)]
+        if self.name not in present or len(present) < self.majority(view.group) or self.proposal is not None:
+            return []
+        wait_s = WRONG_S + present.index(self.name) * STAGGER_S + self.jitter() * STAGGER_S / 2
+        if now_s - self.wrong_since_s < wait_s:
+            return []
+        return self.propose(now_s)
+
+    def propose(self, now_s: float) -> list[Action]:
+        assert self.view is not None
+        group = self.view.group
+        # No two machines ever propose the same epoch: its last eight bits are the proposer's place.
+        epoch = (self.seen_epoch >> 8) + 1 << 8 | group.index(self.name)
+        self.seen_epoch = epoch
+        self.proposal = Proposal(epoch, group, now_s)
+        return [Tell(ip_of(name), frames.Prepare(epoch, self.name)) for name in group]
+
+    def on_prepare(self, frame: frames.Prepare, now_s: float) -> list[Action]:
+        if frame.epoch <= self.promised:
+            return []
+        self.seen_epoch = max(self.seen_epoch, frame.epoch)
+        self.promised = frame.epoch
+        if self.member is not None:
+            self.member.sealed = True
+        self.wrong_since_s = None  # somebody mends it
+        self.writes.append(now_s)
+        return [SavePromise(frame.epoch, ip_of(frame.name))]
+
+    def promise_saved(self, epoch: int, proposer: str, now_s: float) -> list[Action]:
+        """The promise is on disk; what is told with it was on disk before."""
+        self.written(now_s)
+        if epoch != self.promised:
+            return []
+        view = self.view or View(0, (), ())
+        entry = self.newest() or Entry(0, 0, 0, 0, b"")
+        return [Tell(proposer, frames.Promise(epoch, self.name, view.epoch, view.chain, view.group, entry.number,
+                                              entry.epoch, entry.revision, entry.base, entry.body,
+                                              pack_taken(self.all_taken())))]
+
+    def newest(self) -> Entry | None:
+        return self.member.last if self.member is not None else self.last
+
+    def all_taken(self) -> dict[int, bytes]:
+        return self.member.taken if self.member is not None else self.taken
+
+    def on_promise(self, frame: frames.Promise, now_s: float) -> list[Action]:
+        proposal = self.proposal
+        if proposal is None or proposal.epoch != frame.epoch or proposal.sent or frame.name not in proposal.group:
+            return []
+        if self.view is not None and frame.view > self.view.epoch:
+            # Another view was made meanwhile: its group decides, so this proposal is over.
+            self.proposal = None
+            return self.on_view(frames.ViewIs(frame.view, frame.chain, frame.group), now_s)
+        proposal.promises[frame.name] = frame
+        if len(proposal.promises) >= self.majority(proposal.group) and not proposal.enough_s:
+            proposal.enough_s = now_s
+        return self.conclude(now_s)
+
+    def conclude(self, now_s: float) -> list[Action]:
+        """Send out the view once enough have promised, and the others had time to."""
+        proposal = self.proposal
+        if proposal is None:
+            return []
+        if now_s - proposal.began_s > PROPOSAL_S:
+            self.proposal = None
+            self.wrong_since_s = now_s  # wait anew: another one may be at it
+            return []
+        if proposal.sent or not proposal.enough_s:
+            return []
+        missing = [name for name in proposal.group
+                   if name not in proposal.promises and self.present(name, now_s)]
+        if missing and now_s - proposal.enough_s < GATHER_S:
+            return []
+        return self.decide(proposal, now_s)
+
+    def decide(self, proposal: Proposal, now_s: float) -> list[Action]:
+        assert self.view is not None
+        new = self.newcomers(now_s)
+        group = tuple(new.get(name, name) for name in proposal.group)
+        there = set(proposal.promises) | set(new.values())
+        # The tail stays where it was if it can: it is the root of the relays.
+        kept = [name for name in self.view.chain if name in there]
+        members = [name for name in group if name in there and name not in kept] + kept
+        if len(members) < self.copies:
+            return []
+        best = max(proposal.promises.values(), key=lambda promise: (promise.entry_epoch, promise.number))
+        proposal.sent = True
+        frame = frames.Accept(proposal.epoch, tuple(members), group, best.number, best.revision, best.base,
+                              best.body, best.taken)
+        return [Tell(ip_of(name), frame) for name in members]
+
+    def on_accept(self, frame: frames.Accept, now_s: float) -> list[Action]:
+        view = View(frame.epoch, frame.chain, frame.group, frame.number)
+        if frame.epoch < self.promised or self.name not in frame.chain:
+            return []
+        if self.accepting == view or (self.view is not None and self.view.epoch >= view.epoch):
+            return []
+        entry = None
+        if frame.number:
+            entry = Entry(frame.number, frame.epoch, frame.revision, frame.base, frame.body)
+        return self.accept_view(view, entry, unpack_taken(frame.taken), now_s)
+
+    def accept_view(self, view: View, entry: Entry | None, taken: dict[int, bytes], now_s: float) -> list[Action]:
+        self.accepting = view
+        self.promised = max(self.promised, view.epoch)
+        if self.member is not None:
+            self.member.sealed = True
+        self.writes.append(now_s)
+        return [SaveView(view, entry, taken)]
+
+    def view_saved(self, view: View, entry: Entry | None, taken: dict[int, bytes], now_s: float) -> list[Action]:
+        self.written(now_s)
+        if self.accepting == view:
+            self.accepting = None
+        self.last, self.taken = entry, taken
+        self.proposal = None
+        self.wrong_since_s = None
+        self.hold(view)
+        return self.pulse(now_s) + self.tick(now_s)
+
+    # -- the disk ------------------------------------------------------------------------------------------
+
+    def written(self, now_s: float) -> None:
+        """A write has come back; the disk works."""
+        if self.writes:
+            self.writes.pop(0)
+        self.disk_failed_s = None
+
+    def disk_tried(self, now_s: float) -> list[Action]:
+        self.written(now_s)
+        return self.pulse(now_s)
+
+    def write_failed(self, what: SavePromise | SaveView | Sync | TryDisk, now_s: float) -> list[Action]:
+        """The disk refused a write: until another one goes through this machine is no good member."""
+        if self.writes:
+            self.writes.pop(0)
+        self.disk_failed_s = now_s
+        if isinstance(what, SaveView) and self.accepting == what.view:
+            self.accepting = None
+        actions: list[Action] = []
+        if isinstance(what, Sync) and self.member is not None:
+            actions += self.member.failed(what.entry, now_s)
+        return actions + self.pulse(now_s)
+
+    # -- orders and reads ----------------------------------------------------------------------------------
+
+    def order(self, frame: frames.Order, now_s: float) -> list[Action]:
+        if self.view is None:
+            return []
+        if ip_of(self.view.chain[0]) != self.ip:
+            return [Tell(ip_of(self.view.chain[0]), frame)]
+        if self.member is None or not self.leads(now_s):
+            return []
+        return self.note_syncs(self.member.order(frame, now_s), now_s)
+
+    def forward(self, frame: frames.Forward, now_s: float) -> list[Action]:
+        return self.note_syncs(self.member.forward(frame, now_s), now_s) if self.member is not None else []
+
+    def committed(self, frame: frames.Committed, now_s: float) -> list[Action]:
+        return self.note_syncs(self.member.commit(frame, now_s), now_s) if self.member is not None else []
+
+    def synced(self, entry: Entry, now_s: float) -> list[Action]:
+        self.written(now_s)
+        if self.member is None or self.member.view.epoch != entry.epoch:
+            return []  # a view has come in between, and with it what counts
+        return self.note_syncs(self.member.synced(entry, now_s), now_s)
+
+    def note_syncs(self, actions: list[chain.Action], now_s: float) -> list[Action]:
+        self.writes += [now_s for action in actions if isinstance(action, Sync)]
+        return [*actions]
+
+    def read(self, frame: frames.Read, now_s: float) -> list[Action]:
+        """Answered by the tail, once a majority has confirmed that no later epoch was promised."""
+        if self.view is None:
+            return []
+        tail = ip_of(self.view.chain[-1])
+        if tail != self.ip:
+            return [Tell(tail, frame)]
+        if not self.leads(now_s) or frame.ident in self.reads:
+            return []
+        self.reads[frame.ident] = Asked(frame, now_s + CONFIRM_S, {self.name})
+        ask = frames.Confirm(self.view.epoch, frame.ident, self.ip)
+        others: list[Action] = [Tell(ip_of(name), ask) for name in self.view.group if name != self.name]
+        return others + self.answer_read(frame.ident)
+
+    def on_confirm(self, frame: frames.Confirm) -> list[Action]:
+        if self.promised > frame.epoch or self.view is None or self.view.epoch > frame.epoch:
+            return []
+        return [Tell(frame.origin, frames.Confirmed(frame.epoch, frame.ident, self.name))]
+
+    def on_confirmed(self, frame: frames.Confirmed) -> list[Action]:
+        asked = self.reads.get(frame.ident)
+        if asked is None or self.view is None or frame.epoch != self.view.epoch:
+            return []
+        if frame.name in self.view.group:
+            asked.names.add(frame.name)
+        return self.answer_read(frame.ident)
+
+    def answer_read(self, ident: int) -> list[Action]:
+        asked = self.reads[ident]
+        member = self.member
+        assert self.view is not None
+        if len(asked.names) < self.majority(self.view.group) or member is None or member.sealed:
+            return []
+        del self.reads[ident]
+        entry = member.last if member.committed == member.number else None
+        if entry is None and member.number:
+            return []  # the tail's own sync is what commits, so this does not last
+        frame = frames.Reading(ident, 200 if entry else 404, entry.body if entry else b"")
+        return [Tell(asked.frame.origin, frame)]
--- a/cypressbeam/chain.py
+++ b/cypressbeam/chain.py
@@ -1,7 +1,8 @@
 """One member of the chain that holds the configuration. Pure: frames and syncs in, actions out.
 
-Source: chain replication (van Renesse and Schneider, OSDI 2004). The head orders and compares bases, each member
-syncs before it passes on, the tail's sync commits. Every message carries the view's epoch; another one is refused.
+Source: chain replication (van Renesse and Schneider, OSDI 2004); agreement.py makes and mends the chain. The head
+orders and compares bases, each member syncs before it passes on, the tail's sync commits. Every message carries the
+view's epoch; another one is refused.
 Invariants: no member passes on what it has not synced; nothing is published or answered 200 but by a tail that has
 synced it; numbers and revisions only rise; the head has at most one entry that is not committed.
 """
@@ -20,12 +21,28 @@
 MOST_WAITING = 64
 
 
+def ip_of(name: str) -> str:
+    """The address of a member."""
+    return name.partition("/")[0]
+
+
 @dataclass(frozen=True, slots=True)
 class View:
-    """The chain as its members agreed on it: addresses from head to tail."""
+    """What a majority of the group before it has agreed on. Members are named by address and identity, for a machine
+    that has lost its disk has forgotten its promises, and is another one from then on."""
 
     epoch: int
-    members: tuple[str, ...]
+    chain: tuple[str, ...]
+    """From head to tail."""
+    group: tuple[str, ...]
+    """Whose majority decides the next view; a chain is a part of it."""
+    began: int = 0
+    """The number of the entry that the view began with; later ones are committed when the tail says so."""
+
+    @property
+    def members(self) -> tuple[str, ...]:
+        """The chain's addresses, from head to tail."""
+        return tuple(ip_of(name) for name in self.chain)
 
     @property
     def head(self) -> str:
@@ -46,6 +63,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Entry:
+    """A version on its way or in force. Of two, the one with the higher epoch, then number, is the newer."""
+
     number: int
     epoch: int
     revision: int
@@ -95,6 +114,10 @@
     asked: list[tuple[int, str]] = field(default_factory=list)
     """Who is to be answered for the entry under way: ids of orders, and the nodes that took them."""
     sent_s: float = 0.0
+    active: bool = False
+    """Every member of the chain has taken up this view, and with it the entry that it began with."""
+    sealed: bool = False
+    """A higher epoch was promised: nothing more is done in this one."""
 
     # -- what it is ----------------------------------------------------------------------------------------
 
@@ -112,20 +135,19 @@
     def is_tail(self) -> bool:
         return self.view.tail == self.me
 
-    def start(self, now_s: float) -> list[Action]:
-        """After a start with what was on disk: the tail's is committed, others ask for it by sending it again."""
-        if self.last is None:
-            return []
-        if self.is_tail():
-            self.committed = self.last.number
-            return [Publish(self.last)]
-        return self.send_down(now_s)
+    def activate(self, now_s: float) -> list[Action]:
+        """All members hold what this view began with, so that is committed; at the tail, all that it has."""
+        self.active = True
+        self.committed = max(self.committed, self.number if self.is_tail() else self.view.began)
+        return [Publish(self.last)] if self.last is not None and self.is_tail() else self.send_down(now_s)
 
     # -- orders, at the head -------------------------------------------------------------------------------
 
     def order(self, order: frames.Order, now_s: float) -> list[Action]:
         if not self.is_head():
             return [Tell(self.view.head, order)]
+        if self.sealed or not self.active:
+            return []  # it is sent again, or its caller told that nobody answered
         if len(self.waiting) >= MOST_WAITING:
             return [answer(order, 503, "too many orders wait")]
         self.waiting.append(order)
@@ -138,7 +160,7 @@
         """Orders are decided one at a time, once what came before is committed: so a refusal for another version
         never names one that is lost."""
         actions: list[Action] = []
-        while self.waiting and self.is_head():
+        while self.waiting and self.is_head() and not self.sealed:
             order = self.waiting[0]
             if self.busy():
                 self.join_same()
@@ -174,7 +196,7 @@
     # -- entries, down the chain ---------------------------------------------------------------------------
 
     def forward(self, frame: frames.Forward, now_s: float) -> list[Action]:
-        if frame.epoch != self.view.epoch:
+        if frame.epoch != self.view.epoch or self.sealed or not self.active:
             return []
         if frame.number <= self.number:
             return self.on_known(frame, now_s)
@@ -196,6 +218,8 @@
         self.syncing = None
         self.last = entry
         self.taken[entry.revision] = self.digest(entry.body)
+        if self.sealed:
+            return []
         if not self.is_tail():
             return self.send_down(now_s)
         self.committed = entry.number
@@ -224,7 +248,7 @@
                                                entry.body, ident, origin))]
 
     def commit(self, frame: frames.Committed, now_s: float) -> list[Action]:
-        if frame.epoch != self.view.epoch or not self.committed < frame.number <= self.number:
+        if frame.epoch != self.view.epoch or self.sealed or not self.committed < frame.number <= self.number:
             return []
         self.committed = frame.number
         actions: list[Action] = []
@@ -239,18 +263,10 @@
         return actions
 
     def tick(self, now_s: float) -> list[Action]:
-        if self.number > self.committed and now_s - self.sent_s >= RESEND_S:
+        if self.active and not self.sealed and self.number > self.committed and now_s - self.sent_s >= RESEND_S:
             return self.send_down(now_s)
         return []
 
-    # -- reads, at the tail --------------------------------------------------------------------------------
-
-    def read(self, frame: frames.Read) -> list[Action]:
-        if not self.is_tail():
-            return [Tell(self.view.tail, frame)]
-        body = self.last.body if self.last else b""
-        return [Tell(frame.origin, frames.Reading(frame.ident, 200 if self.last else 404, body))]
-
 
 def answer(order: frames.Order, status: int, text: str) -> Tell:
     return Tell(order.origin, frames.Outcome(order.ident, status, text))
--- a/cypressbeam/frames.py
+++ b/cypressbeam/frames.py
@@ -96,7 +96,7 @@
     """A node tells of itself, to a seed or to the root; again and again, for the root's roster is soft."""
 
     KIND = 1
-    FORM = "sssccs"
+    FORM = "sssccss"
     name: str
     ip: str
     zone: str
@@ -105,6 +105,8 @@
     """1 from a node that already has a place."""
     lost: str
     """The address of a parent that has fallen silent, or nothing."""
+    identity: str = ""
+    """Of a machine with a disk: its name as a member."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -273,23 +275,112 @@
     KIND = 16
     FORM = "ql"
     epoch: int
-    members: tuple[str, ...]
+    chain: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class Founded(Frame):
-    """A member has the view of this epoch on disk."""
+    """A member has a view on disk; this is its chain."""
 
     KIND = 17
     FORM = "sql"
-    ip: str
+    name: str
     epoch: int
-    members: tuple[str, ...]
+    chain: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Pulse(Frame):
+    """A member lives: the view it holds, the epoch it has promised, whether its disk works."""
+
+    KIND = 18
+    FORM = "sqqc"
+    name: str
+    epoch: int
+    promised: int
+    disk: int
+
+
+@dataclass(frozen=True, slots=True)
+class ViewIs(Frame):
+    """For a member that holds an older view: the newest one."""
+
+    KIND = 19
+    FORM = "qll"
+    epoch: int
+    chain: tuple[str, ...]
+    group: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Prepare(Frame):
+    """A proposer asks for the promise to take part in no epoch below this one."""
+
+    KIND = 20
+    FORM = "qs"
+    epoch: int
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class Promise(Frame):
+    """The promise is on disk. With it: the view that the member holds, and its newest entry."""
+
+    KIND = 21
+    FORM = "qsqllqqqqbb"
+    epoch: int
+    name: str
+    view: int
+    chain: tuple[str, ...]
+    group: tuple[str, ...]
+    number: int
+    entry_epoch: int
+    revision: int
+    base: int
+    body: bytes
+    taken: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Accept(Frame):
+    """The view of an epoch, and the entry that all of its chain begin with (number 0: none yet)."""
+
+    KIND = 22
+    FORM = "qllqqqbb"
+    epoch: int
+    chain: tuple[str, ...]
+    group: tuple[str, ...]
+    number: int
+    revision: int
+    base: int
+    body: bytes
+    taken: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Confirm(Frame):
+    """The tail asks whether its epoch is still the newest that a member has promised."""
+
+    KIND = 23
+    FORM = "qqs"
+    epoch: int
+    ident: int
+    origin: str
+
+
+@dataclass(frozen=True, slots=True)
+class Confirmed(Frame):
+    KIND = 24
+    FORM = "qqs"
+    epoch: int
+    ident: int
+    name: str
 
 
 FRAMES: dict[int, type[Frame]] = {
     kind.KIND: kind for kind in (Join, Refer, Place, Attach, News, Servers, Beat, Suspect, Leave, Order, Outcome,
-                                 Forward, Committed, Read, Reading, Found, Founded)}
+                                 Forward, Committed, Read, Reading, Found, Founded, Pulse, ViewIs, Prepare,
+                                 Promise, Accept, Confirm, Confirmed)}
 
 
 def unpack(kind: int, body: bytes) -> Frame:
--- a/cypressbeam/node.py
+++ b/cypressbeam/node.py
@@ -134,8 +134,8 @@
         founding = self.founding
         if founding is None:
             return
-        if self.settings.quorum_member:
-            founding.candidate(self.settings.ip, self.loop.time())
+        if self.settings.quorum_member and self.relay.identity:
+            founding.candidate(self.relay.identity, self.loop.time())
         for tell in founding.tick(self.loop.time()):
             assert isinstance(tell, Tell)
             self.peers.send(tell.ip, tell.frame)
@@ -168,8 +168,10 @@
         if place is None:
             return
         self.watch.take(place.watches, place.watch_names)
+        if self.core is not None:
+            self.core.greet(place.members)
         if self.gate is not None:
-            self.gate.take_fleet(self.relay.fronts, place.index)
+            self.gate.take_fleet(self.relay.fronts or 1, place.index)
 
     def on_silent(self, name: str) -> None:
         if self.relay.is_root and self.core is not None:
@@ -209,26 +211,26 @@
 
     def on_core_frame(self, core: Core, link: Link, frame: frames.Frame) -> None:
         if isinstance(frame, frames.Found):
-            core.task(core.on_found(link, frame))
+            core.on_found(link, frame)
         elif isinstance(frame, (frames.Suspect, frames.Leave)):
             if self.relay.is_root:
                 core.on_gone(frame.name, "leaves" if isinstance(frame, frames.Leave) else "does not answer")
         else:
-            core.on_chain(frame)
+            core.on_core(frame)
 
     def on_join(self, link: Link, frame: frames.Join) -> None:
         if self.relay.is_root and self.core is not None:
             self.core.on_join(link, frame)
             return
-        if self.founding is not None and frame.flags & frames.QUORUM and not frame.placed:
-            self.founding.candidate(frame.ip, self.loop.time())
+        if self.founding is not None and frame.identity and not frame.placed:
+            self.founding.candidate(frame.identity, self.loop.time())
         members = self.members()
         link.send(frames.Refer(members[-1] if members else ""))
 
     def on_founded(self, frame: frames.Founded) -> None:
         founding = self.founding
-        if founding is not None and founding.view is not None and frame.members == founding.view.members:
-            founding.agreed.add(frame.ip)
+        if founding is not None and founding.view is not None and frame.chain == founding.view.chain:
+            founding.agreed.add(frame.name)
 
 
 async def serve(settings: Settings) -> None:
--- a/cypressbeam/relay.py
+++ b/cypressbeam/relay.py
@@ -34,6 +34,7 @@
         self.settings = settings
         self.peers = peers
         self.flags = flags
+        self.identity = ""
         self.loop = asyncio.get_running_loop()
         self.chance = random.Random()
         self.place: frames.Place | None = None
@@ -80,10 +81,12 @@
         self.join_due_s = now_s + JOIN_S + self.chance.uniform(0.0, JOIN_JITTER_S)
         target = self.root
         if not target:
-            seeds = [host for host, _ in self.settings.seeds if host != self.settings.ip]
-            if not seeds:
+            members = self.place.members if self.place is not None else ()
+            known = [*members, *(host for host, _ in self.settings.seeds)]
+            others = [host for host in known if host != self.settings.ip]
+            if not others:
                 return
-            target = seeds[self.seed % len(seeds)]
+            target = others[self.seed % len(others)]
             self.seed += 1
         self.root = ""  # until it has answered
         self.ask(target)
@@ -91,7 +94,7 @@
     def ask(self, target: str) -> None:
         settings = self.settings
         self.peers.send(target, frames.Join(settings.node, settings.ip, settings.zone, self.flags,
-                                            int(self.place is not None), self.lost))
+                                            int(self.place is not None), self.lost, self.identity))
 
     def on_refer(self, frame: frames.Refer) -> None:
         if frame.root and frame.root != self.settings.ip and not self.root:
@@ -104,7 +107,7 @@
         self.joined_s = self.loop.time()
         self.root, self.lost = link.ip, ""
         self.place = frame
-        self.fronts = frame.fronts
+        self.fronts = frame.fronts or self.fronts
         self.on_place()
         if self.parent is None or self.parent.ip not in frame.parents:
             self.tried = 0
@@ -156,15 +159,25 @@
 
     def become_root(self, life: int) -> None:
         """The list of this root's life goes down from here. What an earlier root told is kept until then."""
-        if not self.is_root:
-            self.is_root = True
-            self.listing = Listing(life)
-            self.root = self.settings.ip
-            self.beat()
+        self.is_root = True
+        self.listing = Listing(life)
+        self.root = self.settings.ip
+        parent, self.parent = self.parent, None
+        if parent is not None:
+            parent.close()
+        self.beat(life)
 
-    def beat(self) -> None:
-        if self.is_root:
-            self.loop.call_later(BEAT_S, self.beat)
+    def resign(self) -> None:
+        """Another one is the root by now, or none: children look for it, and so does this node."""
+        self.is_root = False
+        self.root = ""
+        self.join_due_s = 0.0
+        for child in [*self.children]:
+            child.close()
+
+    def beat(self, life: int) -> None:
+        if self.is_root and self.listing.life == life:
+            self.loop.call_later(BEAT_S, self.beat, life)
             self.tell(frames.Beat(self.listing.life, self.listing.seq, self.revision, self.fronts))
 
     # -- news ----------------------------------------------------------------------------------------------
@@ -209,7 +222,7 @@
             return
         now_s = self.heard_s = self.loop.time()
         self.tell(frame)
-        if frame.fronts != self.fronts:
+        if frame.fronts and frame.fronts != self.fronts:
             self.fronts = frame.fronts
             self.on_place()
         lacks = (frame.revision > self.revision
--- a/cypressbeam/roster.py
+++ b/cypressbeam/roster.py
@@ -98,12 +98,12 @@
         others.sort(key=lambda other: weight(known.name, other.name), reverse=True)
         return others[:WATCHED]
 
-    def place(self, name: str, epoch: int, members: tuple[str, ...], root: str) -> frames.Place:
-        """What a node is told."""
+    def place(self, name: str, epoch: int, members: tuple[str, ...], root: str, fronts: int) -> frames.Place:
+        """What a node is told. `fronts` is how many carry traffic, 0 while that is not known."""
         known = self.nodes[name]
         watched = self.watches(known)
         names = sorted(other.name for other in self.nodes.values() if other.flags & frames.FRONT)
         return frames.Place(
             epoch, members, self.parents(known, root), tuple(other.ip for other in watched),
-            tuple(other.name for other in watched), self.fronts(), self.fronts(known.zone),
+            tuple(other.name for other in watched), fronts, self.fronts(known.zone),
             names.index(name) if name in names else 0)
--- a/cypressbeam/store.py
+++ b/cypressbeam/store.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import secrets
 import sqlite3
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -13,7 +15,7 @@
 from cypressbeam.chain import Entry, View
 from cypressbeam.configuration import digest
 
-FORMAT = 1
+FORMAT = 2
 #: Entries whose bodies are kept; of older ones the digests stay, by which a repeated order is known.
 BODIES_KEPT = 3
 FILE = "state.db"
@@ -26,8 +28,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Loaded:
-    """What was on disk."""
+    """What was on disk. The identity is drawn when the disk is first used: one that was lost had another."""
 
+    identity: str
+    promised: int
     view: View | None
     last: Entry | None
     taken: dict[int, bytes]
@@ -51,7 +55,12 @@
                 self.database = self._open()
             with self.database:
                 return what(self.database)
-        except sqlite3.Error as err:
+        except (sqlite3.Error, OSError) as err:
+            # Opened anew the next time: after a refused write nothing that is in memory of it can be trusted.
+            database, self.database = self.database, None
+            if database is not None:
+                with contextlib.suppress(sqlite3.Error):
+                    database.close()
             raise StoreError(f"{self.path.name}: {err}") from None
 
     def _open(self) -> sqlite3.Connection:
@@ -65,26 +74,47 @@
             raise StoreError(f"{self.path.name} has format {version}; this program reads {FORMAT}")
         if version == 0:
             database.executescript(
-                "begin; create table view (epoch integer primary key, members text not null);"
-                "create table entry (number integer primary key, epoch integer not null,"
-                " revision integer not null, base integer not null, digest blob not null, body blob);"
+                "begin; create table meta (key text primary key, value) without rowid;"
+                "create table view (epoch integer primary key, chain text not null, members text not null,"
+                " began integer not null);"
+                "create table entry (number integer primary key, epoch integer not null, revision integer not null,"
+                " base integer not null, digest blob not null, body blob not null);"
+                "create table taken (revision integer primary key, digest blob not null);"
+                f"insert into meta values ('identity', '{secrets.token_hex(6)}'), ('promised', 0);"
                 f"pragma user_version={FORMAT}; commit;")
         return database
 
     async def load(self) -> Loaded:
         return await self.run(read_all)
 
-    async def save_view(self, view: View) -> None:
-        await self.run(lambda database: database.execute(
-            "insert or replace into view values (?, ?)", (view.epoch, ",".join(view.members))))
+    async def save_promise(self, epoch: int) -> None:
+        await self.run(lambda database: write_promise(database, epoch))
+
+    async def save_view(self, view: View, entry: Entry | None, taken: dict[int, bytes]) -> None:
+        """The view, and what it begins with in place of what was there."""
+        def save(database: sqlite3.Connection) -> None:
+            write_promise(database, view.epoch)
+            database.execute("delete from view")
+            database.execute("insert into view values (?, ?, ?, ?)",
+                             (view.epoch, ",".join(view.chain), ",".join(view.group), view.began))
+            database.execute("delete from entry")
+            database.execute("delete from taken")
+            database.executemany("insert into taken values (?, ?)", taken.items())
+            if entry is not None:
+                write_entry(database, entry)
+        await self.run(save)
 
     async def save_entry(self, entry: Entry) -> None:
+        """A new version; old ones go, their digests stay, by which a repeated order is known."""
+        def save(database: sqlite3.Connection) -> None:
+            write_entry(database, entry)
+            database.execute("delete from entry where number <= ?", (entry.number - BODIES_KEPT,))
+        await self.run(save)
+
+    async def try_disk(self) -> None:
+        """Write and sync something that says nothing."""
         def save(database: sqlite3.Connection) -> None:
-            database.execute("insert into entry values (?, ?, ?, ?, ?, ?)",
-                             (entry.number, entry.epoch, entry.revision, entry.base, digest(entry.body),
-                              entry.body))
-            database.execute("update entry set body = null where number <= ? and body is not null",
-                             (entry.number - BODIES_KEPT,))
+            database.execute("insert or replace into meta values ('tried', ?)", (secrets.token_bytes(512),))
         await self.run(save)
 
     def close(self) -> None:
@@ -95,14 +125,26 @@
         self.thread.shutdown(wait=False)
 
 
+def write_promise(database: sqlite3.Connection, epoch: int) -> None:
+    database.execute("update meta set value = max(value, ?) where key = 'promised'", (epoch,))
+
+
+def write_entry(database: sqlite3.Connection, entry: Entry) -> None:
+    mark = digest(entry.body)
+    database.execute("insert or replace into entry values (?, ?, ?, ?, ?, ?)",
+                     (entry.number, entry.epoch, entry.revision, entry.base, mark, entry.body))
+    database.execute("insert or replace into taken values (?, ?)", (entry.revision, mark))
+
+
 def read_all(database: sqlite3.Connection) -> Loaded:
     """Raises StoreError if the newest body is not what its digest says."""
-    row = database.execute("select epoch, members from view order by epoch desc limit 1").fetchone()
-    view = View(row[0], tuple(row[1].split(","))) if row else None
-    taken = dict(database.execute("select revision, digest from entry"))
+    meta = dict(database.execute("select key, value from meta where key in ('identity', 'promised')"))
+    row = database.execute("select epoch, chain, members, began from view").fetchone()
+    view = View(row[0], tuple(row[1].split(",")), tuple(row[2].split(",")), row[3]) if row else None
+    taken = dict(database.execute("select revision, digest from taken"))
     row = database.execute("select number, epoch, revision, base, body from entry"
                            " order by number desc limit 1").fetchone()
     last = Entry(*row) if row else None
-    if last is not None and digest(last.body or b"") != taken[last.revision]:
+    if last is not None and digest(last.body) != taken[last.revision]:
         raise StoreError(f"entry {last.number} does not match its digest")
-    return Loaded(view, last, taken)
+    return Loaded(meta["identity"], meta["promised"], view, last, taken)
