Find the root after all power is lost, and keep a node's place when it joins again

The root now tells seeds that have not joined of itself. Records are renewed in place. The settings file is watched for changes.

--- a/cypressbeam/core.py
+++ b/cypressbeam/core.py
@@ -28,6 +28,8 @@
 FOUNDING_EPOCH = 1 << 8
 #: A root that is new knows only those that have joined since; it tells no number of them before.
 COUNTING_S = 5.0
+#: The root tells seeds that have not joined of itself this often.
+INTRODUCE_S = 0.5
 #: The founder waits so long for one more machine with a disk, and asks a member again that has not agreed yet.
 FOUNDING_QUIET_S = 0.3
 FOUNDING_AGAIN_S = 0.4
@@ -128,7 +130,7 @@
         self.chance = random.SystemRandom()
         self.keeper: Keeper | None = None
         self.roster = Roster(settings.node)
-        self.rooted_s = 0.0
+        self.rooted_s = self.introduced_s = 0.0
         self.poller: asyncio.Task[None] | None = None
         self.tasks: set[asyncio.Task[Any]] = set()
 
@@ -196,6 +198,17 @@
             for name in self.roster.expire(now_s):
                 log.warning("node %s has not joined for long", name)
             self.relay.fronts = self.fronts()
+            if now_s >= self.introduced_s + INTRODUCE_S:
+                self.introduce(now_s)
+
+    def introduce(self, now_s: float) -> None:
+        """Tell the seeds who is the root, as far as they have not joined. After a loss of all power the seeds may be
+        machines that know nobody, and all others ask them."""
+        self.introduced_s = now_s
+        known = {node.ip for node in self.roster.nodes.values()}
+        for ip, _ in self.settings.seeds:
+            if ip not in known:
+                self.send(ip, frames.Refer(self.settings.ip))
 
     def fronts(self) -> int:
         """How many nodes carry traffic; 0 while this is not known yet."""
--- a/cypressbeam/node.py
+++ b/cypressbeam/node.py
@@ -7,6 +7,7 @@
 import os
 import signal
 from collections.abc import Mapping
+from pathlib import Path
 
 from cypressbeam import configuration, control, frames
 from cypressbeam.chain import Tell
@@ -15,7 +16,7 @@
 from cypressbeam.gate import OVERFLOW, Gate
 from cypressbeam.peers import Link, Peers
 from cypressbeam.relay import Relay
-from cypressbeam.settings import Settings, SettingsError, load
+from cypressbeam.settings import VARIABLE, Settings, SettingsError, load
 from cypressbeam.watch import Watch
 from mallowworks.discovery import Address
 from mallowworks.frontend import ClientConnection, Frontend, readiness
@@ -30,6 +31,8 @@
 #: All that is in hand is answered so long before the end of the grace period.
 STOP_MARGIN_S = 0.8
 FOUNDING_TICK_S = 0.1
+#: How often the settings file is looked at.
+FILE_TICK_S = 1.0
 
 
 class Readiness:
@@ -129,6 +132,18 @@
         if new.seeds != self.settings.seeds:
             log.info("settings: seeds are %s", " ".join(f"{host}:{port}" for host, port in new.seeds))
         self.settings = self.relay.settings = new
+        if self.core is not None:
+            self.core.settings = new
+
+    def watch_file(self, path: Path, seen_ns: int = 0) -> None:
+        """The settings file may also change without a signal."""
+        try:
+            now_ns = path.stat().st_mtime_ns
+        except OSError:
+            now_ns = seen_ns  # it is just being replaced
+        if seen_ns and now_ns != seen_ns:
+            self.reload(os.environ)
+        self.loop.call_later(FILE_TICK_S, self.watch_file, path, now_ns)
 
     def found(self) -> None:
         founding = self.founding
@@ -242,6 +257,7 @@
     node = GatewayNode(settings)
     loop.add_signal_handler(signal.SIGHUP, node.reload, os.environ)
     await node.start()
+    node.watch_file(Path(os.environ[VARIABLE]))
     log.info("%s runs at %s", settings.node, settings.ip)
     await stop.wait()
     log.info("stopping")
--- a/cypressbeam/roster.py
+++ b/cypressbeam/roster.py
@@ -47,16 +47,19 @@
 
     def join(self, frame: frames.Join, now_s: float) -> None:
         known = self.nodes.get(frame.name)
-        if known is None or (known.ip, known.flags, known.shunned) != (frame.ip, frame.flags, False):
+        if known is not None and (known.ip, known.zone, known.flags) == (frame.ip, frame.zone, frame.flags):
+            known.seen_s = now_s
+            self.stale = self.stale or known.shunned
+            known.shunned = False
+        else:
+            self.nodes[frame.name] = Known(frame.name, frame.ip, frame.zone, frame.flags, now_s)
             self.stale = True
-        self.nodes[frame.name] = Known(frame.name, frame.ip, frame.zone, frame.flags, now_s)
         for other in self.nodes.values():
             if frame.lost and other.ip == frame.lost and not other.shunned and other.name != frame.name:
                 other.shunned = self.stale = True
 
-    def drop(self, name: str) -> bool:
+    def drop(self, name: str) -> None:
         self.stale = self.nodes.pop(name, None) is not None or self.stale
-        return self.stale
 
     def expire(self, now_s: float) -> list[str]:
         """Drop those that have not joined for long; returns their names."""
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -301,3 +301,14 @@
     (send,) = (a for a in balancer.handle(11, pr.RequestArrived("last", kind, 5_000_000, is_heavy=True))
                if isinstance(a, pr.Send))
     assert send.server == "far"
+
+
+def test_a_node_that_joins_again_keeps_its_place() -> None:
+    roster = Roster("root")
+    joins = [frames.Join(f"n{i}", f"10.0.0.{i}", "z", frames.FRONT, 1, "") for i in range(9)]
+    for join in joins:
+        roster.join(join, 0.0)
+    before = [roster.place(join.name, 1, (), "root", 9).parents for join in joins]
+    for now_s, join in enumerate(joins):
+        roster.join(join, float(now_s))
+    assert [roster.place(join.name, 1, (), "root", 9).parents for join in joins] == before
