--- a/cypressbeam/agreement.py
+++ b/cypressbeam/agreement.py
@@ -118,6 +118,11 @@
     return dict(TAKEN.iter_unpack(data))
 
 
+def newest_of(promises: dict[str, frames.Promise]) -> frames.Promise:
+    """The promise that tells of the newest entry: a committed one is never newer than that."""
+    return max(promises.values(), key=lambda promise: (promise.entry_epoch, promise.number))
+
+
 class Keeper:
     """One machine with a disk: its part in agreeing on views, and its member of the chain."""
 
@@ -396,7 +401,7 @@
         members = [name for name in group if name in there and name not in kept] + kept
         if len(members) < self.copies:
             return []
-        best = max(proposal.promises.values(), key=lambda promise: (promise.entry_epoch, promise.number))
+        best = newest_of(proposal.promises)
         proposal.sent = True
         frame = frames.Accept(proposal.epoch, tuple(members), group, best.number, best.revision, best.base,
                               best.body, best.taken)
