Pass an order or a read on at most twice within the core

Cause: while views differ two machines may each hold the other for the head, and a call went round between them without end, one more with each time it was sent again. Found by reading the path of a call; the test fails without the bound.

--- a/cypressbeam/agreement.py
+++ b/cypressbeam/agreement.py
@@ -17,7 +17,7 @@
 
 import struct
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from cypressbeam import chain, frames
 from cypressbeam.chain import Entry, Member, Sync, Tell, View, ip_of
@@ -36,6 +36,8 @@
 STALL_S = 1.0
 #: A disk that refused a write is tried again after so long.
 TRY_DISK_S = 1.0
+#: How often machines of the core pass on an order or a read that is not theirs.
+MOST_HOPS = 2
 #: A read waits so long for a majority's word.
 CONFIRM_S = 0.8
 #: Digests of versions that are passed on to a new chain.
@@ -466,11 +468,15 @@
         if self.view is None:
             return []
         if ip_of(self.view.chain[0]) != self.ip:
-            return [Tell(ip_of(self.view.chain[0]), frame)]
+            return self.pass_on(ip_of(self.view.chain[0]), frame)
         if self.member is None or not self.leads(now_s):
             return []
         return self.note_syncs(self.member.order(frame, now_s), now_s)
 
+    def pass_on(self, ip: str, frame: frames.Order | frames.Read) -> list[Action]:
+        """To the machine whose part it is, at most so often; whoever took the call sends it again."""
+        return [Tell(ip, replace(frame, hops=frame.hops + 1))] if frame.hops < MOST_HOPS else []
+
     def forward(self, frame: frames.Forward, now_s: float) -> list[Action]:
         return self.note_syncs(self.member.forward(frame, now_s), now_s) if self.member is not None else []
 
@@ -493,7 +499,7 @@
             return []
         tail = ip_of(self.view.chain[-1])
         if tail != self.ip:
-            return [Tell(tail, frame)]
+            return self.pass_on(tail, frame)
         if not self.leads(now_s) or frame.ident in self.reads:
             return []
         self.reads[frame.ident] = Asked(frame, now_s + CONFIRM_S, {self.name})
--- a/cypressbeam/chain.py
+++ b/cypressbeam/chain.py
@@ -144,9 +144,7 @@
     # -- orders, at the head -------------------------------------------------------------------------------
 
     def order(self, order: frames.Order, now_s: float) -> list[Action]:
-        if not self.is_head():
-            return [Tell(self.view.head, order)]
-        if self.sealed or not self.active:
+        if not self.is_head() or self.sealed or not self.active:
             return []  # it is sent again, or its caller told that nobody answered
         if len(self.waiting) >= MOST_WAITING:
             return [answer(order, 503, "too many orders wait")]
--- a/cypressbeam/frames.py
+++ b/cypressbeam/frames.py
@@ -206,11 +206,13 @@
     """A configuration on its way to the head of the chain, from the node that took the call."""
 
     KIND = 10
-    FORM = "qsqb"
+    FORM = "qsqbc"
     ident: int
     origin: str
     base: int
     body: bytes
+    hops: int = 0
+    """How often the core has passed it on: while views differ two machines may each hold the other for the head."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -254,9 +256,10 @@
     """The newest configuration is asked for, at the tail."""
 
     KIND = 14
-    FORM = "qs"
+    FORM = "qsc"
     ident: int
     origin: str
+    hops: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -270,6 +270,22 @@
     assert name in other.view.chain and world.disks[head].last is not None
 
 
+def test_a_call_does_not_go_round_between_two_that_hold_each_other_for_the_head() -> None:
+    world = World(4)
+    names = world.keepers["a"].view.group if world.keepers["a"].view else ()
+    world.keepers["b"].view = View(999, (names[2], names[0]), names)  # b holds c for the head, and c holds b
+    world.keepers["c"].view = View(998, (names[1], names[0]), names)
+    frame: frames.Frame = frames.Order(1, "client", 0, b"5:x")
+    ip, passed = "b", 0
+    while passed < 20:
+        assert isinstance(frame, frames.Order)
+        told = [action for action in world.keepers[ip].order(frame, 0.0) if isinstance(action, Tell)]
+        if not told:
+            break
+        ip, frame, passed = told[0].ip, told[0].frame, passed + 1
+    assert passed == agreement.MOST_HOPS
+
+
 @pytest.mark.parametrize("fault", ["lower epoch", "too few copies", "oldest entry"])
 def test_the_simulation_sees_seeded_faults(fault: str, monkeypatch: pytest.MonkeyPatch) -> None:
     """A rule that is left out must show in some run."""
