Do not report a parent lost that was left for a better one; drop beats that come again

Ruled out: the full disk, calls going round, beats going in a circle; the last is bounded all the same, for places told at different times can make one. Each has a test that fails without its change.

--- a/cypressbeam/frames.py
+++ b/cypressbeam/frames.py
@@ -176,11 +176,13 @@
     """The root lives, and these are its newest; a child that lacks one of them attaches again."""
 
     KIND = 7
-    FORM = "qiqh"
+    FORM = "qiqhi"
     life: int
     seq: int
     revision: int
     fronts: int
+    number: int = 0
+    """Rises with each beat of a life: one that comes a second time has gone in a circle."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/cypressbeam/relay.py
+++ b/cypressbeam/relay.py
@@ -47,6 +47,8 @@
         self.listing = Listing()
         self.fronts = 0
         self.heard_s = 0.0
+        self.beats: dict[int, int] = {}
+        """The last beat's number, by the root's life."""
         self.asked_s = 0.0
         self.joined_s = 0.0
         self.join_due_s = 0.0
@@ -115,8 +117,10 @@
 
     def attach(self, ip: str) -> None:
         """Ask a node for the news; the old parent goes."""
-        if self.parent is not None:
-            self.parent.close()
+        # Let go of first: a parent that is left on purpose is not lost, and must not be told to be.
+        former, self.parent = self.parent, None
+        if former is not None:
+            former.close()
         self.heard_s = self.loop.time()
         self.parent = self.peers.to(ip)
         self.ask_news()
@@ -178,7 +182,8 @@
     def beat(self, life: int) -> None:
         if self.is_root and self.listing.life == life:
             self.loop.call_later(BEAT_S, self.beat, life)
-            self.tell(frames.Beat(self.listing.life, self.listing.seq, self.revision, self.fronts))
+            self.beats[life] = self.beats.get(life, 0) + 1
+            self.tell(frames.Beat(life, self.listing.seq, self.revision, self.fronts, self.beats[life]))
 
     # -- news ----------------------------------------------------------------------------------------------
 
@@ -218,8 +223,11 @@
             self.on_servers()
 
     def on_beat(self, link: Link, frame: frames.Beat) -> None:
-        if link is not self.parent:
+        # Places that were told at different times can make a circle. A beat that comes again neither goes on nor
+        # counts as heard, so those in a circle soon look for the root.
+        if link is not self.parent or frame.number <= self.beats.get(frame.life, 0):
             return
+        self.beats[frame.life] = frame.number
         now_s = self.heard_s = self.loop.time()
         self.tell(frame)
         if frame.fronts and frame.fronts != self.fronts:
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -15,6 +15,8 @@
 import pepperrelay as pr
 from cypressbeam import configuration, frames, listing
 from cypressbeam.gate import balancer_settings, request_class
+from cypressbeam.peers import Link, Peers
+from cypressbeam.relay import Relay
 from cypressbeam.roster import FAN_OUT, Roster
 from cypressbeam.routing import Table
 from cypressbeam.settings import SettingsError, load, parse
@@ -22,6 +24,7 @@
 from mallowworks.dialect import judge_gate, read_load
 from mallowworks.http import Answer
 from pepperrelay.balancer import Balancer
+from tests.loopback import run
 
 BOOT = """node=edge-1
 ip=10.1.0.13
@@ -312,3 +315,34 @@
     for now_s, join in enumerate(joins):
         roster.join(join, float(now_s))
     assert [roster.place(join.name, 1, (), "root", 9).parents for join in joins] == before
+
+
+def test_a_beat_that_comes_again_neither_goes_on_nor_counts_as_heard(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        told: list[frames.Frame] = []
+        peers = Peers("127.0.0.1", 1, lambda link, frame: None, lambda link: None)
+        relay = Relay(parse(BOOT, "boot.conf"), peers, frames.FRONT)
+        monkeypatch.setattr(relay, "tell", told.append)
+        relay.parent = Link(peers, "10.0.0.9")
+        beat = frames.Beat(7, 0, 0, 1, 5)
+        relay.on_beat(relay.parent, beat)
+        relay.heard_s = 0.0
+        for again in (beat, frames.Beat(7, 0, 0, 1, 4)):
+            relay.on_beat(relay.parent, again)
+        assert told == [beat] and relay.heard_s == 0.0
+        relay.on_beat(relay.parent, frames.Beat(7, 0, 0, 1, 6))
+        assert len(told) == 2 and relay.heard_s > 0.0
+    run(scenario())
+
+
+def test_a_parent_that_is_left_for_a_better_one_is_not_told_to_be_lost() -> None:
+    async def scenario() -> None:
+        peers = Peers("127.0.0.1", 1, lambda link, frame: None, lambda link: relay.link_lost(link))
+        relay = Relay(parse(BOOT, "boot.conf"), peers, frames.FRONT)
+        root = Link(peers, "127.0.0.9")
+        relay.on_placed(root, frames.Place(1, ("127.0.0.9",), ("127.0.0.8", "127.0.0.9"), (), (), 3, 3, 0))
+        relay.on_placed(root, frames.Place(1, ("127.0.0.9",), ("127.0.0.7", "127.0.0.9"), (), (), 3, 3, 0))
+        assert relay.lost == "" and relay.parent is not None and relay.parent.ip == "127.0.0.7"
+        relay.parent.close()  # this one is lost: the next is tried, and the root will be told
+        assert relay.lost == "127.0.0.7" and relay.parent is not None and relay.parent.ip == "127.0.0.9"
+    run(scenario())
