Bound what all requests' bodies hold together; log what a limit of ours refuses

Cause: each body was bounded, all of them together were not, so many large bodies at once could take a node over its memory limit, which kills it. A full table of connections and a body over the limit were answered, but left no line in the log at its usual level.

Ruled out: passing bodies on piece by piece. The balancer chooses once the request is whole, and a retry needs the body.

Change: a listening socket counts the bytes of bodies from their arrival until the answer; over 0.3 of the machine's memory the next gets 503 with Retry-After, and one that could never fit 413.

Shown by two tests with a real node, which fail without the change.

--- a/cypressbeam/gate.py
+++ b/cypressbeam/gate.py
@@ -27,6 +27,8 @@
 #: Descriptors kept for all that is no client or server connection.
 SPARE_DESCRIPTORS = 400
 OVERFLOW = 12
+#: Bodies of requests hold at most so much of the memory; while one is read it is there twice.
+HELD_SHARE = 0.3
 #: Of the fleet's retry budget nodes plan to use so much of the ratio, and of the slack: arrivals come a little later
 #: than tokens are spent, and the number of nodes is known a little late.
 RATIO_USED = 0.8
@@ -77,7 +79,7 @@
         self.settings = settings
         self.chance = random.Random()
         self.table: Table | None = None
-        self.limits = Limits(body_renews=True)
+        self.limits = Limits(body_renews=True, held_bytes=int(settings.memory_mb * HELD_SHARE * 1e6))
         self.desks: dict[str, Desk] = {}
         self.servers: dict[str, listing.Server] = {}
         self.started_us: dict[str, int] = {}
--- a/mallowworks/frontend.py
+++ b/mallowworks/frontend.py
@@ -9,7 +9,7 @@
 from typing import Protocol, cast
 
 from mallowworks.http import Answer, Limits, readable
-from mallowworks.messages import BadRequest, Message, RequestReader
+from mallowworks.messages import BadRequest, Message, RequestReader, Store
 
 log = logging.getLogger(__name__)
 
@@ -30,6 +30,8 @@
 COPY_MOST = 32 * 1024
 #: Answers that have no body, and so no length either.
 BODILESS = frozenset({204, 304})
+#: Refusals that a limit of ours makes.
+LIMITED = frozenset({408, 413, 431, 503})
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 #: Connections in one state, with the time since when; longest first.
@@ -60,6 +62,7 @@
     def __init__(self, app: Application, most: int, overflow: int, limits: Limits | None = None) -> None:
         self.app = app
         self.limits = limits or Limits()
+        self.store = Store(self.limits)
         self.loop = app.loop
         self.most = most
         self.overflow = overflow
@@ -90,7 +93,10 @@
     def admit(self, connection: ClientConnection) -> bool:
         """Whether a new connection is within the bound; one without an open request makes room."""
         self.connections.add(connection)
-        return len(self.connections) <= self.most or self.make_room()
+        if len(self.connections) <= self.most or self.make_room():
+            return True
+        log.warning("all %d client connections are in use: no room for another", self.most)
+        return False
 
     def make_room(self) -> bool:
         """Usual clients ask at once and send requests in one go: those who don't go first, then the one that
@@ -136,7 +142,7 @@
     def __init__(self, frontend: Frontend) -> None:
         self.frontend = frontend
         self.app = frontend.app
-        self.reader = RequestReader(self.app.now_us, self.go_ahead, frontend.limits)
+        self.reader = RequestReader(self.app.now_us, self.go_ahead, frontend.store)
         self.current: Message | None = None  # the message that an answer is owed for
         self.request: str | None = None  # and its name, once the application has taken it
         self.closing = False
@@ -162,6 +168,7 @@
         self.wait_in(None)
         self.reader.messages.clear()
         self.reader.close()
+        self.reader.give_back(self.reader.held)
         if self.request is not None:
             request, self.request = self.request, None
             self.app.client_gone(request)
@@ -219,7 +226,7 @@
         try:
             answer = self.app.serve(message, self)
         except BadRequest as err:
-            log.debug("%d: %s", err.status, err)
+            tell(err)
             self.respond(plain(err))
             return
         except Exception:
@@ -235,6 +242,8 @@
         message, self.current, self.request = self.current, None, None
         if message is None or self.transport.is_closing():
             return
+        if message.body:
+            self.reader.give_back(len(message.body))
         close = self.closing or self.frontend.stopping or not message.keep_alive
         self.write(answer, close)
         if close:
@@ -286,7 +295,8 @@
 
     def reject(self, error: BadRequest) -> None:
         """Answer what can't be read to its end; where the next message would begin is not known."""
-        log.debug("%d: %s", error.status, error)
+        tell(error)
+        self.reader.give_back(self.reader.held)
         self.write(plain(error), close=True)
         self.linger()
 
@@ -311,8 +321,16 @@
     return Answer(200 if connection.frontend.ready() else 503)
 
 
+def tell(error: BadRequest) -> None:
+    """Log what was refused. What an operator's limit refused he may want to know; the rest is the client's fault."""
+    level = logging.INFO if error.status in LIMITED else logging.DEBUG
+    log.log(level, "refused a request: %d: %s", error.status, error)
+
+
 def plain(error: BadRequest) -> Answer:
     headers = [(b"Content-Type", b"text/plain; charset=utf-8")]
+    if error.retry_after:
+        headers.append((b"Retry-After", error.retry_after))
     if error.allow:
         headers.append((b"Allow", error.allow))
     return Answer(error.status, headers, f"{error}\n".encode())
--- a/mallowworks/http.py
+++ b/mallowworks/http.py
@@ -47,6 +47,8 @@
     idle_s: float = 10.0
     """Between requests."""
     body_renews: bool = False
+    held_bytes: int = 1 << 40
+    """Of all requests' bodies together, from their first byte until the answer."""
 
 
 @dataclass(slots=True)
--- a/mallowworks/messages.py
+++ b/mallowworks/messages.py
@@ -16,6 +16,8 @@
 
 #: Requests sent ahead on a connection, before the answer to the first.
 MOST_AHEAD = 4
+#: Where there is no room for a body just now the client may come back after so many seconds.
+STORE_FULL_S = b"1"
 TIMEOUT_FORM = re.compile(rb"([0-9]{1,10}(?:\.[0-9]{1,6})?)([mu])")
 PLAIN_KEY = re.compile(rb"k=[0-9A-Za-z_.~-]+")
 UNIT_US = {b"m": 1000.0, b"u": 1.0}
@@ -24,10 +26,24 @@
 class BadRequest(Exception):
     """What can't be taken: the status of its answer, and why."""
 
-    def __init__(self, status: int, why: str, allow: bytes = b"") -> None:
+    def __init__(self, status: int, why: str, allow: bytes = b"", retry_after: bytes = b"") -> None:
         super().__init__(why)
         self.status = status
         self.allow = allow
+        self.retry_after = retry_after
+
+
+class Store:
+    """The bytes of requests' bodies that one listening socket holds, over all its connections."""
+
+    def __init__(self, limits: Limits) -> None:
+        self.limits = limits
+        self.held = 0
+
+    def take(self, size: int) -> bool:
+        """Whether so many bytes more may be held; they are counted either way, until they are given back."""
+        self.held += size
+        return self.held <= self.limits.held_bytes
 
 
 @dataclass(slots=True)
@@ -47,8 +63,11 @@
     """Makes whole messages of the bytes from one client. The first error is the last word: where the next
     message would begin is not known any more, so nothing behind it is parsed or kept."""
 
-    def __init__(self, now_us: Callable[[], int], on_expect: Callable[[], None], limits: Limits) -> None:
-        self.limits = limits
+    def __init__(self, now_us: Callable[[], int], on_expect: Callable[[], None], store: Store) -> None:
+        self.limits = store.limits
+        self.store = store
+        self.held = 0
+        """Bytes of bodies that came here and are not given back to the store yet."""
         self.now_us = now_us
         self.on_expect = on_expect
         self.messages: deque[Message] = deque()
@@ -79,10 +98,19 @@
     def most_raw(self) -> int:
         return self.limits.head_bytes + MOST_FRAMED * len(self.body)
 
+    def most_body(self) -> int:
+        """One that is larger than all that may be held would never fit."""
+        return min(self.limits.body_bytes, self.limits.held_bytes)
+
     def close(self) -> None:
         """Parser and reader refer to each other: taken apart they are freed at once, not by a collection."""
         self.parser = None
 
+    def give_back(self, size: int) -> None:
+        """So many bytes of a body are not needed any more."""
+        self.held -= size
+        self.store.held -= size
+
     def stop(self, error: BadRequest) -> None:
         """From within a callback: end the parsing here."""
         self.error = self.error or error
@@ -118,7 +146,7 @@
         for lower, name, value in self.headers:
             size += len(name) + len(value) + 4
             # Two or unequal lengths, and a length beside a coding, are errors of httptools' own.
-            if lower == b"content-length" and (len(value) > 18 or int(value) > self.limits.body_bytes):
+            if lower == b"content-length" and (len(value) > 18 or int(value) > self.most_body()):
                 self.stop(BadRequest(413, "the body is too large"))
             if lower == b"transfer-encoding" and (version == "1.0" or value.strip().lower() != b"chunked"):
                 self.stop(BadRequest(501, "of all Transfer-Encodings only chunked is read"))
@@ -129,8 +157,12 @@
 
     def on_body(self, data: bytes) -> None:
         self.body += data
-        if len(self.body) > self.limits.body_bytes:
+        self.held += len(data)
+        there_is_room = self.store.take(len(data))
+        if len(self.body) > self.most_body():
             self.stop(BadRequest(413, "the body is too large"))
+        if not there_is_room:
+            self.stop(BadRequest(503, "too many bodies at once", retry_after=STORE_FULL_S))
 
     def on_message_complete(self) -> None:
         assert self.parser is not None
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -115,6 +115,60 @@
     run(scenario())
 
 
+def log_of(machine: Machine) -> str:
+    return (machine.folder / "log").read_text(encoding="utf-8")
+
+
+def test_bodies_are_held_within_a_bound_over_all_of_them() -> None:
+    async def scenario() -> None:
+        async with rig(edges=1, extra={"constraints.memoryMb": "2"}) as made:  # 0.6 MB for bodies
+            (edge,), body = made.edges, b"x" * 400_000
+            first = ListConnection(edge.front)
+            await first.open()
+            head = (f"PUT /book/1 HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: held\r\nTime-Left-Ms: 9000\r\n"
+                    f"Content-Length: {len(body)}\r\n\r\n").encode()
+            answered = asyncio.create_task(first.call(head + body[:-1], 20.0))
+            async with asyncio.timeout(20.0):
+                while (got := await ask(edge, "/book/2", "b2", "PUT", body=body)).status == 200:
+                    await asyncio.sleep(0)  # the first one's bytes are still on their way
+            assert got.status == 503 and got.header(b"retry-after") == b"1"
+            assert "refused a request: 503: too many bodies at once" in log_of(edge)
+            assert (await ask(edge, "/book/3", "b3", "PUT", body=body * 2)).status == 413
+            assert "refused a request: 413: the body is too large" in log_of(edge)
+            assert first.writer is not None
+            first.writer.write(body[-1:])
+            assert (await soon(answered)).status == 200
+            first.close()
+            for number in range(4):  # what was held has been given back
+                assert (await ask(edge, "/book/4", f"after{number}", "PUT", body=body)).status == 200
+    run(scenario())
+
+
+def test_a_full_table_of_connections_is_told_to_client_and_operator() -> None:
+    async def scenario() -> None:
+        async with rig(edges=1, extra={"constraints.fileHandles": "420"}) as made:  # 12 of them for clients
+            (edge,) = made.edges
+            whole = (f"PUT /book/1 HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: h%d\r\nTime-Left-Ms: 9000\r\n"
+                     "Content-Length: 2\r\n\r\nab").encode()
+            held: list[ListConnection] = []
+            for number in range(12):
+                held.append(ListConnection(edge.front))
+                await held[-1].open()
+                assert (await held[-1].call(whole % number, 20.0)).status == 200
+                assert held[-1].writer is not None
+                held[-1].writer.write((whole % number)[:-1])  # within a second request: it keeps its place
+            refused = await ask(edge, ident="one-too-many")
+            assert refused.status == 503 and refused.header(b"retry-after") == b"0.5"
+            assert "all 12 client connections are in use: no room for another" in log_of(edge)
+            for connection in held:
+                assert (await connection.call(b"b", 20.0)).status == 200
+                connection.close()
+            async with asyncio.timeout(20.0):
+                while (await ask(edge, ident="now-there-is")).status != 200:
+                    await asyncio.sleep(0)  # the node has yet to see them close
+    run(scenario())
+
+
 def test_configurations_are_taken_refused_and_read_back_at_any_node() -> None:
     async def scenario() -> None:
         async with rig() as made:
