Keep what a member has synced when it hears of a view without it

Cause: a machine that learned of a newer view without a place for it dropped its member of the chain, and with it the newest entry in memory; its next promise told of what it had loaded at its start. Two such machines were a majority that knew nothing, and began a new chain without a configuration that had been acknowledged. Agreement.on_view was at fault.

Ruled out: the choice of the newest promise and the order of writes (the trace shows both right; the entry was on the disk).

Change: what the member has goes over to the machine before the member goes.

--- a/cypressbeam/agreement.py
+++ b/cypressbeam/agreement.py
@@ -284,6 +284,8 @@
             return []
         self.view = View(frame.epoch, frame.chain, frame.group)
         self.seen_epoch = max(self.seen_epoch, frame.epoch)
+        # What the member has synced is on disk still, and a promise must tell of it: it may be the only copy left.
+        self.last, self.taken = self.newest(), self.all_taken()
         self.member = None
         self.wrong_since_s = None
         return self.pulse(now_s)
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -44,6 +44,22 @@
         assert told is None, f"seed {seed}: {told}"
 
 
+def test_a_machine_that_hears_of_a_view_without_it_still_tells_what_is_on_its_disk() -> None:
+    """It told nothing once, and a majority of two such machines undid what was acknowledged (seed 468)."""
+    world = quiet_world(6)
+    body = replace(world)
+    keeper = world.keepers["a"]
+    assert keeper.view is not None
+    group = keeper.view.group
+    keeper.on_view(frames.ViewIs(keeper.view.epoch + 512, group[1:], group), world.now_s)
+    (saved,) = keeper.on_prepare(frames.Prepare(keeper.promised + 2048, group[1]), world.now_s)
+    assert isinstance(saved, agreement.SavePromise)
+    (told,) = keeper.promise_saved(saved.epoch, saved.proposer, world.now_s)
+    assert isinstance(told, Tell) and isinstance(told.frame, frames.Promise)
+    assert (told.frame.body, told.frame.number) == (body, 1) and told.frame.taken
+    assert histories.fails(468, histories.make_plan(468)) is None
+
+
 def test_a_seed_plays_the_same_history_again() -> None:
     first, again = (histories.play(7, histories.make_plan(7)) for _ in range(2))
     assert first.trace == again.trace
