Acknowledge resent orders only once the newest entry is committed

Cause: a head whose orders were sent again while an entry was on its way answered them at any word of the tail, also at that on an earlier entry. After a loss of all power such a word does come: the head knows only what its view began with as committed. So 200 was sent for an entry that one disk held.

Ruled out: the tail (it had committed entry 9 and said so) and the re-sending of entries.

Change: the head answers when what is committed is all that it has.

--- a/cypressbeam/chain.py
+++ b/cypressbeam/chain.py
@@ -253,7 +253,8 @@
         previous = self.view.previous(self.me)
         if previous is not None:
             actions.append(Tell(previous, frames.Committed(self.view.epoch, frame.number)))
-        if self.is_head():
+        # After a loss of all power the word on an earlier entry may come while a later one is on its way.
+        if self.is_head() and self.committed == self.number:
             # The tail has answered the first; the rest had sent the same again meanwhile.
             actions += [Tell(origin, frames.Outcome(ident, 200, "taken")) for ident, origin in self.asked[1:]]
             self.asked = []
--- a/tests/test_chain.py
+++ b/tests/test_chain.py
@@ -137,3 +137,15 @@
     assert isinstance(sync, Sync)
     assert one.failed(sync.entry, 0.0) == [Tell("client", frames.Outcome(1, 503, "the disk refuses"))]
     assert one.number == 0 and not one.busy()
+
+
+def test_word_of_an_earlier_entry_acknowledges_no_later_one() -> None:
+    """After a loss of all power a head held an entry beyond what the tail had confirmed, and took the word on that
+    for both (seed 2195)."""
+    view = View(256, ("a/0", "b/0"), ("a/0", "b/0"))
+    last = Entry(10, 256, 100, 90, b"100:x")
+    head = Member("a", view, lambda body: 100, lambda body: body, last, {100: b"100:x"}, committed=6, active=True)
+    head.asked = [(1, "client"), (2, "client")]
+    assert head.commit(frames.Committed(256, 9), 0.0) == []
+    assert [action.frame for action in head.commit(frames.Committed(256, 10), 0.0)
+            if isinstance(action, Tell)] == [frames.Outcome(2, 200, "taken")]
