Have a majority confirm the epoch before a head names the version in force

Cause: a head that had been cut off heard first pulses from before the mending, took itself for the leader, and refused an order with 412 and a version older than one acknowledged meanwhile: an operator was told of a past that others had left. Reads were confirmed by a majority, refusals were not. Also the words gathered for a read counted on in the next view.

Ruled out: counting only pulses of the own epoch in leads(): those that come first are from before the mending, and say nothing.

Change: refusals (400, 412) of the chain wait for the same confirmation as reads; what was confirmed is dropped with the view.

Two tests by hand fail without the change.

--- a/cypressbeam/agreement.py
+++ b/cypressbeam/agreement.py
@@ -38,6 +38,8 @@
 TRY_DISK_S = 1.0
 #: How often machines of the core pass on an order or a read that is not theirs.
 MOST_HOPS = 2
+#: Answers that say which version is in force.
+REFUSALS = (400, 412)
 #: A read waits so long for a majority's word.
 CONFIRM_S = 0.8
 #: Digests of versions that are passed on to a new chain.
@@ -101,9 +103,10 @@
 
 @dataclass(slots=True)
 class Asked:
-    """A read that waits for a majority's word that the epoch still holds."""
+    """A read, or a refusal, that waits for a majority's word that the epoch still holds."""
 
-    frame: frames.Read
+    origin: str
+    refusal: frames.Outcome | None
     due_s: float
     names: set[str]
 
@@ -176,6 +179,7 @@
         """This machine has put a view on disk, or finds it there."""
         self.view = view
         self.seen_epoch = max(self.seen_epoch, view.epoch)
+        self.reads.clear()  # what others have confirmed was the epoch before; callers ask again
         self.member = None
         if self.name in view.chain:
             self.member = Member(self.ip, view, self.check, self.digest, self.last, self.taken)
@@ -286,6 +290,7 @@
         self.seen_epoch = max(self.seen_epoch, frame.epoch)
         # What the member has synced is on disk still, and a promise must tell of it: it may be the only copy left.
         self.last, self.taken = self.newest(), self.all_taken()
+        self.reads.clear()
         self.member = None
         self.wrong_since_s = None
         return self.pulse(now_s)
@@ -502,8 +507,28 @@
         return self.note_syncs(self.member.synced(entry, now_s), now_s)
 
     def note_syncs(self, actions: list[chain.Action], now_s: float) -> list[Action]:
-        self.writes += [now_s for action in actions if isinstance(action, Sync)]
-        return [*actions]
+        """What the member wants done. A refusal names the version in force: a head that was cut off, or frozen, may
+        not have heard yet that there is a newer one, so the others are asked first."""
+        done: list[Action] = []
+        for action in actions:
+            if isinstance(action, Sync):
+                self.writes.append(now_s)
+            if (isinstance(action, Tell) and isinstance(action.frame, frames.Outcome)
+                    and action.frame.status in REFUSALS):
+                done += self.confirm(action.frame.ident, action.ip, action.frame, now_s)
+            else:
+                done.append(action)
+        return done
+
+    def confirm(self, ident: int, origin: str, refusal: frames.Outcome | None, now_s: float) -> list[Action]:
+        """Ask the group whether this epoch still holds, before something is answered."""
+        assert self.view is not None
+        if ident in self.reads:
+            return []
+        self.reads[ident] = Asked(origin, refusal, now_s + CONFIRM_S, {self.name})
+        ask = frames.Confirm(self.view.epoch, ident, self.ip)
+        others: list[Action] = [Tell(ip_of(name), ask) for name in self.view.group if name != self.name]
+        return others + self.answer_read(ident)
 
     def read(self, frame: frames.Read, now_s: float) -> list[Action]:
         """Answered by the tail, once a majority has confirmed that no later epoch was promised."""
@@ -512,12 +537,7 @@
         tail = ip_of(self.view.chain[-1])
         if tail != self.ip:
             return self.pass_on(tail, frame)
-        if not self.leads(now_s) or frame.ident in self.reads:
-            return []
-        self.reads[frame.ident] = Asked(frame, now_s + CONFIRM_S, {self.name})
-        ask = frames.Confirm(self.view.epoch, frame.ident, self.ip)
-        others: list[Action] = [Tell(ip_of(name), ask) for name in self.view.group if name != self.name]
-        return others + self.answer_read(frame.ident)
+        return self.confirm(frame.ident, frame.origin, None, now_s) if self.leads(now_s) else []
 
     def on_confirm(self, frame: frames.Confirm) -> list[Action]:
         if self.promised > frame.epoch or self.view is None or self.view.epoch > frame.epoch:
@@ -538,9 +558,12 @@
         assert self.view is not None
         if len(asked.names) < self.majority(self.view.group) or member is None or member.sealed:
             return []
-        del self.reads[ident]
+        if asked.refusal is not None:
+            del self.reads[ident]
+            return [Tell(asked.origin, asked.refusal)]
         entry = member.last if member.committed == member.number else None
         if entry is None and member.number:
             return []  # the tail's own sync is what commits, so this does not last
+        del self.reads[ident]
         frame = frames.Reading(ident, 200 if entry else 404, entry.body if entry else b"")
-        return [Tell(asked.frame.origin, frame)]
+        return [Tell(asked.origin, frame)]
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -60,6 +60,29 @@
     assert histories.fails(468, histories.make_plan(468)) is None
 
 
+def test_a_head_names_the_version_in_force_only_once_others_have_confirmed_its_epoch() -> None:
+    """One that had been cut off refused by an older version than the one acknowledged meanwhile (seed 1679)."""
+    world = quiet_world(8)
+    replace(world)
+    keeper = world.keepers["a"]
+    assert keeper.member is not None and keeper.member.is_head() and keeper.view is not None
+    asks = keeper.order(frames.Order(77, "client", 0, b"50:late"), world.now_s)
+    assert {type(action.frame) for action in asks if isinstance(action, Tell)} == {frames.Confirm}
+    epoch, name = keeper.view.epoch, keeper.view.group[1]
+    assert keeper.on_confirmed(frames.Confirmed(epoch - 1, 77, name)) == []
+    (told,) = keeper.on_confirmed(frames.Confirmed(epoch, 77, name))
+    assert isinstance(told, Tell) and isinstance(told.frame, frames.Outcome) and told.frame.status == 412
+
+
+def test_what_others_confirmed_of_an_epoch_does_not_count_in_the_next() -> None:
+    world = quiet_world(9)
+    replace(world)
+    keeper = world.keepers["c"]
+    assert keeper.view is not None and keeper.read(frames.Read(78, "client"), world.now_s)
+    keeper.hold(keeper.view)
+    assert keeper.on_confirmed(frames.Confirmed(keeper.view.epoch, 78, keeper.view.group[0])) == []
+
+
 def test_a_seed_plays_the_same_history_again() -> None:
     first, again = (histories.play(7, histories.make_plan(7)) for _ in range(2))
     assert first.trace == again.trace
