Find silent peers by what is heard of them, not by the kernel's user timeout

Change: the option goes. It was there so that a machine that lost its power, or was cut off, is written to again soon; a link that was written to and from whose node nothing came for 1.5 s is now replaced at the next send.

--- a/cypressbeam/peers.py
+++ b/cypressbeam/peers.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import socket
 from collections.abc import Callable
 from typing import cast
 
@@ -12,8 +11,9 @@
 
 log = logging.getLogger(__name__)
 
-#: A machine without power stays silent: unanswered bytes break a connection after so long.
-USER_TIMEOUT_MS = 1500
+#: A machine without power stays silent, and the kernel goes on sending to it, ever more seldom. Whoever has written to
+#: one and heard nothing of it for so long opens a new connection for what comes next.
+SILENT_S = 1.5
 CONNECT_TIMEOUT_S = 1.0
 #: Bytes that may wait for a peer that does not read.
 MOST_UNWRITTEN = 8 * 1024 * 1024
@@ -29,12 +29,12 @@
         self.transport: asyncio.Transport | None = None
         self.early: list[bytes] = []
         self.closed = False
+        self.asked_s = 0.0
+        """When the first bytes were sent since the node was last heard."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.ip = transport.get_extra_info("peername")[0]
-        made = transport.get_extra_info("socket")
-        made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
         if self.closed:
             self.transport.abort()
             return
@@ -49,6 +49,8 @@
     def send_packed(self, data: bytes) -> None:
         if self.closed:
             return
+        if self.asked_s <= self.peers.heard.get(self.ip, 0.0):
+            self.asked_s = self.peers.loop.time()
         if self.transport is None:
             self.early.append(data)
         elif self.transport.get_write_buffer_size() > MOST_UNWRITTEN:
@@ -57,7 +59,13 @@
         else:
             self.transport.write(data)
 
+    def silent(self) -> bool:
+        """Whether bytes were sent and no answer, nor anything else, has come from there for long."""
+        heard_s = self.peers.heard.get(self.ip, 0.0)
+        return self.asked_s > heard_s and self.peers.loop.time() - self.asked_s > SILENT_S
+
     def data_received(self, data: bytes) -> None:
+        self.peers.heard[self.ip] = self.peers.loop.time()
         self.buffer += data
         while len(self.buffer) >= frames.HEAD.size and not self.closed:
             length, kind = frames.HEAD.unpack_from(self.buffer)
@@ -115,6 +123,8 @@
         self.on_lost = on_lost
         self.links: set[Link] = set()
         self.out: dict[str, Link] = {}
+        self.heard: dict[str, float] = {}
+        """When a node was last heard, on any connection, by its address."""
         self.tasks: set[asyncio.Task[None]] = set()
         self.server: asyncio.Server | None = None
 
@@ -126,6 +136,9 @@
         if ip == self.ip:
             return self.local
         link = self.out.get(ip)
+        if link is not None and link.transport is not None and link.silent():
+            link.close()
+            link = None
         if link is None:
             link = self.out[ip] = Link(self, ip)
             task = self.loop.create_task(self.connect(link))
