--- a/cypressbeam/cli.py
+++ b/cypressbeam/cli.py
@@ -195,8 +195,24 @@
     sys.exit(0 if passed else 3)
 
 
+@lab.command()
+@click.option("--seeds", default=200, show_default=True, help="How many histories.")
+@click.option("--first", default=0, show_default=True, help="The first seed.")
+@click.option("--jobs", default=8, show_default=True, help="Processes at once.")
+def chaos(seeds: int, first: int, jobs: int) -> None:
+    """Whole systems through kills, lost disks, cuts and the loss of all power, on a simulated network.
+
+    After each trouble the core must be whole, an order taken, and its news known by all. Exit code 3 if not.
+    """
+    from lab.chaos import search_with
+
+    found = hunt(search_with, "", range(first, first + seeds), jobs)
+    click.echo(f"seed {found[0]}: {found[1]}" if found is not None else f"{seeds} histories, nothing found")
+    sys.exit(3 if found is not None else 0)
+
+
 #: Histories that one process plays before it tells of them.
-BATCH = 100
+BATCH = 20
 
 
 def hunt(play: Callable[[tuple[str, range]], tuple[int, str] | None], name: str, seeds: range,
--- /dev/null
+++ b/lab/chaos.py
@@ -0,0 +1,127 @@
+"""Whole systems through one trouble after another, on a simulated network: after each, all must be well again."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+from collections.abc import Iterable
+from dataclasses import replace
+
+from cypressbeam.settings import Settings
+from lab.membership import CORES, Cluster
+from lab.simulation import Disk, Host
+
+#: Edge nodes, and how many troubles one history has.
+EDGES, TROUBLES = 8, 8
+KINDS = ("core", "wiped core", "edges", "core and edges", "all", "core cut off", "edge cut off")
+#: After a trouble: the core must be whole again, and then an order taken, and its news with a list known by all.
+WHOLE_S, TAKEN_S, KNOWN_S = 14.0, 6.0, 4.0
+AGAIN_S = 0.3
+
+Machine = tuple[Host, Settings]
+
+
+class Broken(Exception):
+    """What was not as it should be after a trouble."""
+
+
+def victims(cluster: Cluster, kind: str, chance: random.Random) -> list[Machine]:
+    cores, edges = cluster.machines[:CORES], cluster.machines[CORES:]
+    if kind == "all":
+        return list(cluster.machines)
+    found = [chance.choice(cores)] if "core" in kind else []
+    if "edges" in kind:
+        found += chance.sample(edges, 3)
+    return found or [chance.choice(edges)]
+
+
+async def strike(cluster: Cluster, kind: str, chance: random.Random) -> None:
+    """A trouble from its begin to its end."""
+    struck, lasts_s = victims(cluster, kind, chance), chance.uniform(0.3, 4.0)
+    if "cut off" in kind:
+        ((one, _),) = struck
+        cluster.net.cut = lambda here, there: (here is one) != (there is one)
+        await asyncio.sleep(lasts_s)
+        cluster.net.cut = lambda here, there: False
+        return
+    for machine in struck:
+        cluster.stop(*machine)
+    if kind == "wiped core":
+        ((host, settings),) = struck
+        cluster.disks[settings.node] = Disk(f"{chance.getrandbits(48):012x}")
+        struck = [(host, replace(settings, bootstrap=False))]
+    await asyncio.sleep(lasts_s)
+    for machine in struck:
+        cluster.start(*machine)
+        await asyncio.sleep(chance.uniform(0.0, 0.2))
+
+
+def core_is_whole(cluster: Cluster) -> bool:
+    """One root, and all machines with a disk in one active chain."""
+    cores = [node.core for node in cluster.nodes.values() if node.core is not None]
+    views = {core.view.epoch for core in cores if core.view is not None and len(core.view.chain) == CORES}
+    return (len(cores) == CORES and len(views) == 1 and sum(node.relay.is_root for node in cluster.nodes.values()) == 1
+            and all(core.keeper is not None and core.keeper.member is not None and core.keeper.member.active
+                    for core in cores))
+
+
+def all_know(cluster: Cluster) -> bool:
+    """The newest configuration, and the list as the root has it."""
+    root = cluster.root
+    if root is None:
+        return False
+    if not root.relay.listing.seq:  # one that has just become the root asks the platform
+        cluster.poll(cluster.revision)
+    wanted = root.relay.listing.life, root.relay.listing.seq
+    return all(node.relay.revision >= cluster.revision
+               and (node.relay.listing.life, node.relay.listing.seq) == wanted for node in cluster.edges)
+
+
+async def settle(cluster: Cluster, after: str) -> None:
+    """Raises Broken."""
+    if await cluster.until(lambda: core_is_whole(cluster), WHOLE_S) == math.inf:
+        raise Broken(f"after {after}: the core is not whole")
+    cluster.revision += 1
+    ends_s = cluster.loop.time() + TAKEN_S
+    while (root := cluster.root) is None or root.relay.revision < cluster.revision:
+        if cluster.loop.time() > ends_s:
+            raise Broken(f"after {after}: an order is not taken")
+        if root is not None and core_is_whole(cluster):
+            cluster.revision -= 1
+            cluster.order()
+        await asyncio.sleep(AGAIN_S)  # as whoever takes an order from an operator does
+    cluster.poll(cluster.revision)
+    if await cluster.until(lambda: all_know(cluster), KNOWN_S) == math.inf:
+        raise Broken(f"after {after}: not all know revision {cluster.revision} and the list")
+
+
+async def history(cluster: Cluster, seed: int) -> None:
+    chance = random.Random(f"chaos {seed}")
+    for machine in cluster.machines:
+        cluster.start(*machine)
+    await settle(cluster, "the start")
+    for number in range(TROUBLES):
+        kind = chance.choice(KINDS)
+        await strike(cluster, kind, chance)
+        await settle(cluster, f"trouble {number} ({kind})")
+
+
+def search(seeds: Iterable[int]) -> tuple[int, str] | None:
+    """The first seed whose history goes wrong, and how."""
+    for seed in seeds:
+        cluster = Cluster(EDGES, seed)
+        try:
+            cluster.run(history(cluster, seed))
+            if cluster.net.faults:
+                return seed, str(dict(cluster.net.faults))
+        except Broken as err:
+            return seed, str(err)
+        finally:
+            cluster.close()
+    return None
+
+
+def search_with(job: tuple[str, range]) -> tuple[int, str] | None:
+    """The same for a process of its own."""
+    return search(job[1])
--- a/lab/membership.py
+++ b/lab/membership.py
@@ -95,6 +95,10 @@
     def root(self) -> SimulatedNode | None:
         return next((node for node in self.nodes.values() if node.relay.is_root), None)
 
+    def at(self, node: SimulatedNode, what: Callable[..., object], *args: object) -> None:
+        """Do something as that node's machine, so that what it sets up lives there."""
+        self.net.hosts[node.settings.ip].context.copy().run(what, *args)
+
     def order(self) -> None:
         """A new configuration, at the head."""
         self.revision += 1
@@ -102,14 +106,15 @@
         members = next(node.members() for node in self.nodes.values() if node.core is not None)
         head = next(node for node in self.nodes.values() if node.settings.ip == members[0])
         assert head.core is not None
-        head.core.on_core(frames.Order(self.revision, head.settings.ip, self.revision - 1, body))
+        self.at(head, head.core.on_core, frames.Order(self.revision, head.settings.ip, self.revision - 1, body))
 
     def poll(self, servers: int) -> tuple[int, int]:
         """A new list at the root; its life and number."""
         root = self.root
         assert root is not None and root.core is not None
-        root.core.take_list([listing.Server(f"i-{number}", "finder", (f"10.9.0.{number}", 80), "a", 8,
-                                            listing.IN_SERVICE, 0) for number in range(servers)])
+        self.at(root, root.core.take_list, [
+            listing.Server(f"i-{number}", "finder", (f"10.9.0.{number}", 80), "a", 8, listing.IN_SERVICE, 0)
+            for number in range(servers)])
         return root.relay.listing.life, root.relay.listing.seq
 
     def depths(self) -> dict[str, int]:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -199,6 +199,30 @@
     run(scenario())
 
 
+def test_a_configuration_of_many_hundred_routes_is_taken_and_outlives_the_core() -> None:
+    many = demo_configuration(2)
+    many["channels"] += [many["channels"][0] | {"label": f"more-{number}", "prefix": f"/more/{number}/"}
+                         for number in range(900)]
+    body = cbor2.dumps(many)
+
+    async def scenario() -> None:
+        async with rig(edges=1) as made:
+            (edge,), cores = made.edges, made.system.machines[:3]
+            assert (await push(edge, body, 1))[0] == 200
+            async with asyncio.timeout(20.0):
+                while (await ask(edge, "/more/899/x")).status != 200:
+                    await asyncio.sleep(0.01)
+            for machine in cores:
+                await made.system.kill(machine)
+            for machine in cores:
+                await made.system.start(machine)
+            async with asyncio.timeout(20.0):
+                while await status_of(cores[0].control, "/-/Configuration.Read") != 200:
+                    await asyncio.sleep(0.05)
+            assert (await read_back(cores[0])).body == body
+    run(scenario())
+
+
 def test_the_state_outlives_the_core_and_a_restart_changes_nothing() -> None:
     async def scenario() -> None:
         async with rig(edges=1) as made:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,6 +11,7 @@
 from cypressbeam import frames
 from cypressbeam.relay import Relay
 from cypressbeam.roster import FAN_OUT
+from lab import chaos
 from lab.membership import STEPS, ZONES, Cluster, Figures, measure, play
 from lab.simulation import Net
 
@@ -88,6 +89,16 @@
     net.loop.close()
 
 
+def test_whole_systems_come_back_from_one_trouble_after_another() -> None:
+    assert chaos.search(range(12)) is None
+
+
+def test_a_system_whose_core_never_mends_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("cypressbeam.agreement.DEAD_S", math.inf)
+    found = chaos.search(range(12))
+    assert found is not None and "the core is not whole" in found[1]
+
+
 def test_a_node_that_was_cut_off_is_written_to_on_a_new_connection() -> None:
     """The old one waits ever longer before it sends again: after a cut of 7 s it does so after 5.6 s more."""
     cluster = Cluster(0, 1)
