Have the test of the store wait until its thread is done with the files

Cause: a store closes on its own thread, and the test removed the folder meanwhile: one run in a dozen failed. Ruled out: the store's reading (the assertion had passed each time). Change: the test waits for the thread.

--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -36,10 +36,16 @@
     for number in range(1, entries + 1):
         await store.save_entry(entry(number))
         states.append(files(folder))
-    store.close()
+    close(store)
     return states
 
 
+def close(store: Store) -> None:
+    """And wait until the files are left alone."""
+    store.close()
+    store.thread.shutdown(wait=True)
+
+
 def load(found: Files) -> Loaded:
     """What a node that starts from these files reads. Raises StoreError."""
     folder = Path(tempfile.mkdtemp(prefix="cypressbeam-store-"))
@@ -52,7 +58,7 @@
             try:
                 return await store.load()
             finally:
-                store.close()
+                close(store)
         return asyncio.run(read())
     finally:
         shutil.rmtree(folder)
