Tell a configuration file that cannot be read in one line

Cause: config push read its file before the call that turns errors into one line and exit code 1, so a spoilt file ended in a traceback. Seen on reading the change once more; config check and diff read theirs inside. Ruled out: a wider catch in the command line, which would hide faults of ours. Change: the file is read within the call.

--- a/cypressbeam/cli.py
+++ b/cypressbeam/cli.py
@@ -110,7 +110,7 @@
 @click.option("--base", type=int, help="The revision that it is to replace; without it, the one in force.")
 def push(where: Address, file: Path, base: int | None) -> None:
     """Replace the configuration. Done once it is on the disks of the whole chain."""
-    click.echo(reach(operate.push(where, operate.load(file), base)))
+    click.echo(reach(operate.push_file(where, file, base)))
 
 
 @config.command()
--- a/cypressbeam/operate.py
+++ b/cypressbeam/operate.py
@@ -181,6 +181,11 @@
     return lines
 
 
+async def push_file(where: Address, file: Path, base: int | None) -> str:
+    """Raises Unusable, before anything is sent, for a file that can't be read."""
+    return await push(where, load(file), base)
+
+
 # -- the state as a whole ----------------------------------------------------------------------------------------
 
 
--- a/tests/test_operate.py
+++ b/tests/test_operate.py
@@ -94,6 +94,13 @@
     assert call.exit_code == 3 and "unknown service nobody" in json.loads(call.output)["invalid"]
 
 
+def test_a_file_that_cannot_be_read_is_told_in_one_line(tmp_path: Path) -> None:
+    file = tmp_path / "new.json"
+    file.write_text("{", encoding="utf-8")
+    call = CliRunner().invoke(main, ["config", "push", "127.0.0.1:1", str(file)])
+    assert call.exit_code == 1 and call.output.startswith("cypressbeam: ") and "new.json" in call.output
+
+
 @pytest.mark.parametrize(("words", "code", "told"), [
     (["status", "nowhere"], 2, "'nowhere' is no host:port"),
     (["status", "127.0.0.1:1"], 1, "cypressbeam:"),
