Hand on an answer only to the request whose Attempt-Id it bears

Change: on a wire whose answers name their request (a field of the dialect) the reader takes off and drops whole answers to others and goes on waiting; an answer without a name, with two, or one whose end can't be known (to a HEAD, or the last of its connection) ends the connection, and the attempt as one that may have run. The older wire is as it was. The stand-in servers name their answers.

--- a/lab/standins.py
+++ b/lab/standins.py
@@ -51,6 +51,11 @@
     return next((value for lower, _, value in message.headers if lower == name), None)
 
 
+def named(message: Message) -> list[tuple[bytes, bytes]]:
+    """The header by which an answer names its request."""
+    return [(b"Attempt-Id", header(message, b"attempt-id") or b"")]
+
+
 class Server(StandIn):
     """A server: so many slots, a queue behind them, and work of a fixed length for each request."""
 
@@ -75,12 +80,12 @@
                           [(b"Server-Id", self.ident.encode()), self.load()])
         target = header(message, b"target-server")
         if target is not None and target != self.ident.encode():
-            return Answer(421, [(b"Server-Id", self.ident.encode())])
+            return Answer(421, [*named(message), (b"Server-Id", self.ident.encode())])
         if header(message, b"attempt-id") is None:
             return Answer(400, [(b"Not-Executed", b"1")])
         if self.running >= self.slots:
             if len(self.waiting) >= self.queue:
-                return Answer(503, [(b"Not-Executed", b"1"), self.load()])
+                return Answer(503, [*named(message), (b"Not-Executed", b"1"), self.load()])
             self.waiting.append((message, connection))
         else:
             self.begin(message, connection)
@@ -95,8 +100,7 @@
         self.running -= 1
         status, self.failing = (500, self.failing - 1) if self.failing else (200, 0)
         seal = b"%s.%s" % (self.ident.encode(), header(message, b"attempt-id"))
-        connection.respond(Answer(status, [(b"Attempt-Id", header(message, b"attempt-id") or b""),
-                                           (b"Server-Seal", seal), self.load()],
+        connection.respond(Answer(status, [*named(message), (b"Server-Seal", seal), self.load()],
                                   b"from %s: %s %s\n" % (self.ident.encode(), message.method, message.target)))
         if self.waiting and self.running < self.slots:
             self.begin(*self.waiting.pop(0))
--- a/mallowworks/dialect.py
+++ b/mallowworks/dialect.py
@@ -85,6 +85,8 @@
     judge: Callable[[Answer], Ending]
     address: Callable[[int, str], bytes]
     """The lines that a server gets beside the client's: milliseconds left, and its own name."""
+    names_answers: bool = False
+    """Whether each answer of a server names its request by the `ident` header."""
 
 
 NODE = Dialect(
@@ -101,4 +103,5 @@
     not_passed_on=HOP_BY_HOP | {b"time-left-ms", b"target-server"},
     not_passed_back=HOP_BY_HOP | {b"server-load", b"not-executed"},
     load=b"server-load", read_load=read_load, judge=judge_gate,
-    address=lambda left_ms, server: b"Time-Left-Ms: %d\r\nTarget-Server: %s\r\n" % (left_ms, server.encode()))
+    address=lambda left_ms, server: b"Time-Left-Ms: %d\r\nTarget-Server: %s\r\n" % (left_ms, server.encode()),
+    names_answers=True)
--- a/mallowworks/http.py
+++ b/mallowworks/http.py
@@ -75,10 +75,18 @@
 
 
 class ResponseReader:
-    """Reads answers one after another; `complete` is set once a whole one has come."""
+    """Reads answers one after another; `complete` is set once a whole one has come.
 
-    def __init__(self, most_body: int = MOST_ANSWER) -> None:
+    On a wire where answers name their request (`names`, a header in lower case), only the answer that bears the
+    expected name counts. A whole answer to another request is surplus: it is taken off and dropped, and the right one
+    is still waited for. An answer without a name, or with more than one, ends the reading.
+    """
+
+    def __init__(self, most_body: int = MOST_ANSWER, names: bytes | None = None) -> None:
         self.most_body = most_body
+        self.names = names
+        self.dropped = 0
+        """Whole answers to other requests, so far."""
         self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self.reset()
 
@@ -86,9 +94,12 @@
         """Parser and reader refer to each other: taken apart they are freed at once, not by a collection."""
         self.parser = None
 
-    def reset(self, no_body: bool = False) -> None:
+    def reset(self, no_body: bool = False, expected: bytes = b"") -> None:
         """Ready for the next answer on the same connection. With `no_body` its head is the whole of it."""
         self.no_body = no_body
+        self.expected = expected
+        self.surplus = False
+        self.skipped = 0
         self.complete = False
         self.keep_alive = False
         self.raw_bytes = 0
@@ -117,7 +128,7 @@
         if self.complete:
             return
         # Heads without end, also in parts that the parser still holds, and bodies that are mostly frame.
-        if self.raw_bytes > MOST_HEAD + MOST_FRAMED * len(self.body):
+        if self.raw_bytes > MOST_HEAD + MOST_FRAMED * (len(self.body) + self.skipped):
             raise TooLarge("the answer is too large")
 
     # httptools' callbacks; what they raise comes out of feed_data as a HttpParserError
@@ -142,15 +153,28 @@
             if lower == b"transfer-encoding" and value.lower() != b"chunked":
                 raise ValueError(f"Transfer-Encoding {value!r} was not asked for")
         assert self.parser is not None
+        if self.parser.get_status_code() >= 200 and self.names is not None:
+            self.check_name(self.names)
         if self.no_body and self.parser.get_status_code() >= 200:
             self.complete = True  # the parser waits for a body: the connection is of no more use
             self.answer = Answer(self.parser.get_status_code(), self.headers)
             length = self.answer.header(b"content-length")
             self.answer.length = int(length) if length is not None else 0
 
+    def check_name(self, names: bytes) -> None:
+        given = [value for name, value in self.headers if name.lower() == names]
+        if len(given) != 1:
+            raise ValueError(f"an answer with {len(given)} names of requests")
+        self.surplus = given[0] != self.expected
+        if self.surplus and self.no_body:
+            raise ValueError("another's answer, whose end is not known where none has a body")
+
     def on_body(self, data: bytes) -> None:
-        self.body += data
-        if len(self.body) > self.most_body:
+        if self.surplus:
+            self.skipped += len(data)
+        else:
+            self.body += data
+        if len(self.body) + self.skipped > self.most_body:
             raise TooLarge("the answer is too large")
 
     def on_message_complete(self) -> None:
@@ -161,6 +185,12 @@
         if status < 200:  # an interim answer; the final one follows
             self.headers_done = False
             return
+        if self.surplus:
+            if not self.parser.should_keep_alive():
+                raise ValueError("another's answer, and the last of its connection")
+            self.headers_done = self.surplus = False
+            self.dropped += 1
+            return
         self.complete = True
         self.keep_alive = self.parser.should_keep_alive()
         self.answer = Answer(status, self.headers, bytes(self.body))
--- a/mallowworks/upstream.py
+++ b/mallowworks/upstream.py
@@ -71,7 +71,8 @@
         self.unwritten = False
         self.closed = False
         self.idle_s = upstream.idle_s
-        self.reader = ResponseReader(upstream.most_answer)
+        dialect = upstream.dialect
+        self.reader = ResponseReader(upstream.most_answer, dialect.ident if dialect.names_answers else None)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports do not derive from asyncio.Transport: a check of the type would fail.
@@ -94,7 +95,7 @@
     def send(self, attempt: Attempt) -> None:
         self.attempt = attempt
         attempt.connection = self
-        self.reader.reset(no_body=attempt.no_body)
+        self.reader.reset(attempt.no_body, attempt.request.encode("latin-1"))
         self.transport.write(attempt.message)
 
     def data_received(self, data: bytes) -> None:
@@ -102,12 +103,15 @@
         if attempt is None:  # a server has nothing to say unasked
             self.close()
             return
+        dropped = self.reader.dropped
         try:
             self.reader.feed(data)
         except (ValueError, httptools.HttpParserError) as err:
             log.warning("server %s: %s", self.server, err.__context__ or err)
             self.end(Ending.RESET)
             return
+        if self.reader.dropped > dropped:
+            log.warning("server %s: an answer that belongs to no request is dropped", self.server)
         if self.reader.complete:
             answer = self.reader.answer
             told_s = keep_alive_s(answer)
