Name bodies by digest in frames, and fetch them packed, in slices, beside the frames

Bodies went whole, again and again (orders and entries each 0.3 s, promises and accepts too), on the connection that pulses and beats use; so parents looked silent without any trouble, each new parent sent all again, and the core lost its own pulses.

Change: a frame names a body by its digest. Who lacks it fetches it from whoever named it over a second connection, packed (zlib; only the ranges that changed where it has an earlier version), in slices that follow from linkMbps, a window at a time, at most half of the link, resumed at another source, handed on while it still comes. What does not match its digest is thrown away and fetched whole elsewhere. A part that comes counts as life. The tree goes by links: fast ones feed more. Nodes bind their own address when they connect, for others know them by it.

--- a/cypressbeam/agreement.py
+++ b/cypressbeam/agreement.py
@@ -32,6 +32,8 @@
 #: A proposer waits so long for more promises than it needs, and for its view to become active.
 GATHER_S = 0.3
 PROPOSAL_S = 1.2
+#: After proposals that came to nothing the next may take so many times as long: bodies may be slow to come.
+MOST_PATIENCE = 8
 #: A write that has not come back by then is a disk that does not work, until it does.
 STALL_S = 1.0
 #: A disk that refused a write is tried again after so long.
@@ -43,7 +45,7 @@
 #: A read waits so long for a majority's word.
 CONFIRM_S = 0.8
 #: Digests of versions that are passed on to a new chain.
-TAKEN_KEPT = 1000
+TAKEN_KEPT = 128
 TAKEN = struct.Struct("!Q32s")
 
 
@@ -149,6 +151,7 @@
         self.heard: dict[str, Heard] = {}
         """By address."""
         self.proposal: Proposal | None = None
+        self.patience = 1
         self.accepting: View | None = None
         self.wrong_since_s: float | None = None
         self.pulse_due_s = 0.0
@@ -388,8 +391,9 @@
         proposal = self.proposal
         if proposal is None:
             return []
-        if now_s - proposal.began_s > PROPOSAL_S:
+        if now_s - proposal.began_s > PROPOSAL_S * self.patience:
             self.proposal = None
+            self.patience = min(2 * self.patience, MOST_PATIENCE)
             self.wrong_since_s = now_s  # wait anew: another one may be at it
             return []
         if proposal.sent or not proposal.enough_s:
@@ -440,7 +444,7 @@
         if self.accepting == view:
             self.accepting = None
         self.last, self.taken = entry, taken
-        self.proposal = None
+        self.proposal, self.patience = None, 1
         self.wrong_since_s = None
         self.hold(view)
         return self.pulse(now_s) + self.tick(now_s)
--- /dev/null
+++ b/cypressbeam/bodies.py
@@ -0,0 +1,309 @@
+"""Bodies by their digests: what this node holds, what it fetches from others, and what it hands out.
+
+Frames between nodes name a body by its digest; whoever lacks it fetches it from whoever named it, over a connection
+beside the one for frames, so nothing small waits behind it. It comes packed (delta.py), in slices that the fetching
+side asks for a window at a time: so a thin link never holds more than a window of it. The handing side spaces its
+slices by its own link. A node that is still fetching hands on what it has so far; a fetch goes on where it stopped
+when it goes to another source. What does not match its digest is thrown away and fetched whole elsewhere.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from cypressbeam import delta, frames
+from cypressbeam.configuration import digest
+
+if TYPE_CHECKING:
+    from cypressbeam.peers import Link, Peers
+
+log = logging.getLogger(__name__)
+
+#: Bodies that are held, the newest; and packed forms, of which children ask for one or two.
+KEPT, PACKED_KEPT = 4, 8
+#: Slices and windows are what the node's own link carries in so long, within bounds: a frame waits behind one slice of
+#: each transfer, and a window covers the way there and back.
+SLICE_S, WINDOW_S = 0.01, 0.06
+SLICE_BYTES = (2 * 1024, 32 * 1024)
+WINDOW_BYTES = (8 * 1024, 256 * 1024)
+#: Slices take at most this share of the link; requests have the rest.
+LINK_SHARE = 0.5
+#: A source that has sent nothing for so long is asked again, or another one; a fetch without progress is over.
+STALL_S = 0.8
+GIVE_UP_S = 6.0
+#: One that has been quiet for so long gives way to a source that is told of now.
+QUIET_S = 0.3
+TICK_S = 0.2
+
+
+@dataclass(slots=True)
+class Fetch:
+    """A body on its way here."""
+
+    sources: list[str]
+    """Addresses, the one that is asked first."""
+    moved_s: float
+    asked_s: float
+    began_s: float
+    link: Link | None = None
+    base: bytes = b""
+    base_body: bytes = b""
+    total: int = -1
+    """Of the packed body; below 0 while it is not known."""
+    got: bytearray = field(default_factory=bytearray)
+    wanted: int = 0
+    """Up to where it was asked for."""
+    then: dict[object, Callable[[bytes], None]] = field(default_factory=dict)
+    whole: bool = False
+    """Nothing of what is here may serve as a base: what was packed on it did not match."""
+
+    def begin_anew(self) -> None:
+        self.got.clear()
+        self.total, self.base, self.base_body = -1, b"", b""
+
+
+@dataclass(slots=True)
+class Serving:
+    """A body that a child fetches from here: its next slice begins at `at`, and goes at most up to `end`."""
+
+    base: bytes
+    at: int
+    end: int
+
+
+class Bodies:
+    """All bodies of one node. `on_progress` gets the address of a node that has just sent a part of one."""
+
+    def __init__(self, peers: Peers, link_mbps: float) -> None:
+        self.peers = peers
+        self.loop = asyncio.get_running_loop()
+        per_s = link_mbps * 1e6 / 8
+        self.slice = int(min(max(per_s * SLICE_S, SLICE_BYTES[0]), SLICE_BYTES[1]))
+        self.window = int(min(max(per_s * WINDOW_S, WINDOW_BYTES[0]), WINDOW_BYTES[1]))
+        self.per_s = per_s * LINK_SHARE
+        self.held: OrderedDict[bytes, bytes] = OrderedDict()
+        self.packed: OrderedDict[tuple[bytes, bytes], bytes] = OrderedDict()
+        self.fetches: dict[bytes, Fetch] = {}
+        self.serving: dict[tuple[Link, bytes], Serving] = {}
+        """In the order in which they take turns."""
+        self.free_s = 0.0
+        """When the link has carried what was handed to it."""
+        self.pumping = False
+        self.ticking = False
+        self.fetched_bytes = self.handed_bytes = 0
+        self.on_progress: Callable[[str], None] = lambda ip: None
+
+    # -- what is held --------------------------------------------------------------------------------------
+
+    def put(self, body: bytes) -> bytes:
+        """Hold a body, so that those who are told of it find it here; returns its digest."""
+        mark = digest(body)
+        self.held[mark] = body
+        self.held.move_to_end(mark)
+        while len(self.held) > KEPT:
+            self.held.popitem(last=False)
+        return mark
+
+    def need(self, mark: bytes, source: str, then: Callable[[bytes], None], key: object = None) -> None:
+        """Get a body: `then` is called with it, at once if it is here; of several with one key the last counts. A body
+        that can't be got is given up without a word, for whoever has named it names it again."""
+        body = self.held.get(mark)
+        if body is not None:
+            self.held.move_to_end(mark)
+            then(body)
+            return
+        fetch = self.fetches.get(mark)
+        if fetch is None:
+            now_s = self.loop.time()
+            fetch = self.fetches[mark] = Fetch([source], now_s, now_s, now_s)
+            self.ask(mark, fetch)
+        elif source not in fetch.sources:
+            fetch.sources.insert(0, source)
+            if self.loop.time() - max(fetch.moved_s, fetch.asked_s) > QUIET_S:
+                self.ask(mark, fetch)
+            else:
+                fetch.sources.append(fetch.sources.pop(0))
+        fetch.then[key if key is not None else then] = then
+        if not self.ticking:
+            self.ticking = True
+            self.loop.call_later(TICK_S, self.tick)
+
+    # -- fetching ------------------------------------------------------------------------------------------
+
+    def ask(self, mark: bytes, fetch: Fetch) -> None:
+        """Ask the first source for the next window."""
+        fetch.asked_s = self.loop.time()
+        at = len(fetch.got)
+        fetch.wanted = at + self.window
+        bases = fetch.base
+        if fetch.total < 0 and not fetch.whole:
+            bases = b"".join(self.held)
+        fetch.link = self.peers.bulk(fetch.sources[0])
+        fetch.link.send(frames.Want(mark, bases, at, self.window))
+
+    def ask_elsewhere(self, mark: bytes, fetch: Fetch) -> None:
+        fetch.sources.append(fetch.sources.pop(0))
+        self.ask(mark, fetch)
+
+    def tick(self) -> None:
+        now_s = self.loop.time()
+        for mark, fetch in [*self.fetches.items()]:
+            if now_s - fetch.moved_s > GIVE_UP_S:
+                log.warning("body %s: nobody sends it", mark.hex()[:8])
+                del self.fetches[mark]
+            elif now_s - max(fetch.moved_s, fetch.asked_s) > STALL_S:
+                self.ask_elsewhere(mark, fetch)
+        self.ticking = bool(self.fetches)
+        if self.ticking:
+            self.loop.call_later(TICK_S, self.tick)
+
+    def on_slice(self, link: Link, frame: frames.Slice) -> None:
+        fetch = self.fetches.get(frame.mark)
+        if fetch is None:
+            return
+        if (frame.base, frame.total) != (fetch.base, fetch.total):
+            if frame.at:
+                return  # of another packed form, and not its beginning
+            if frame.base and frame.base not in self.held:
+                return  # it has gone from here since it was named
+            fetch.base, fetch.total, fetch.base_body = frame.base, frame.total, self.held.get(frame.base, b"")
+            fetch.got.clear()
+        if frame.at != len(fetch.got):
+            return  # it came twice, or after one that was lost with its connection
+        fetch.moved_s = self.loop.time()
+        self.fetched_bytes += len(frame.data)
+        self.on_progress(link.ip)
+        fetch.got += frame.data
+        if len(fetch.got) >= fetch.total:
+            self.finish(frame.mark, fetch)
+            return
+        if len(fetch.got) >= fetch.wanted - self.window // 2:
+            link.send(frames.Want(frame.mark, fetch.base, fetch.wanted, self.window // 2))
+            fetch.wanted += self.window // 2
+        self.pump()
+
+    def on_lacking(self, link: Link, frame: frames.Lacking) -> None:
+        """A source does not have it; the next one may, in a while."""
+        fetch = self.fetches.get(frame.mark)
+        if fetch is None or fetch.sources[0] != link.ip:
+            return
+        fetch.begin_anew()
+        if len(fetch.sources) > 1:
+            fetch.sources.pop(0)
+            self.ask(frame.mark, fetch)
+
+    def finish(self, mark: bytes, fetch: Fetch) -> None:
+        try:
+            body = delta.unpack(bytes(fetch.got), fetch.base_body)
+            if digest(body) != mark:
+                raise delta.Broken("it is not what its digest says")
+        except delta.Broken as err:
+            log.error("body %s from %s: %s", mark.hex()[:8], fetch.sources[0], err)
+            fetch.begin_anew()
+            fetch.whole = True
+            self.ask_elsewhere(mark, fetch)
+            return
+        self.keep_packed((mark, fetch.base), bytes(fetch.got))
+        del self.fetches[mark]
+        self.put(body)
+        for then in [*fetch.then.values()]:
+            then(body)
+        self.pump()
+
+    # -- handing out ---------------------------------------------------------------------------------------
+
+    def keep_packed(self, key: tuple[bytes, bytes], data: bytes) -> bytes:
+        self.packed[key] = data
+        self.packed.move_to_end(key)
+        while len(self.packed) > PACKED_KEPT:
+            self.packed.popitem(last=False)
+        return data
+
+    def on_want(self, link: Link, frame: frames.Want) -> None:
+        """A node wants a part of a body, and names what it has that might serve as a base."""
+        bases = [frame.bases[at:at + frames.DIGEST] for at in range(0, len(frame.bases), frames.DIGEST)]
+        fetch = self.fetches.get(frame.mark)
+        if frame.mark in self.held:
+            base = next((base for base in reversed(bases) if base in self.held and base != frame.mark), b"")
+        elif fetch is not None:
+            base = fetch.base
+            if base and base not in bases:
+                base = b""
+        else:
+            link.send(frames.Lacking(frame.mark))
+            return
+        # One that goes on asks for the base that it has begun with. Where that is not here it begins anew.
+        goes_on = frame.at == 0 or [base] == bases or (not base and not bases)
+        at = frame.at if goes_on else 0
+        key = (link, frame.mark)
+        serving = self.serving.get(key)
+        if serving is not None and (serving.base, serving.end) == (base, at):
+            serving.end += frame.length
+        else:
+            self.serving[key] = Serving(base, at, at + frame.length)
+        self.pump()
+
+    def form(self, mark: bytes, base: bytes) -> tuple[bytes | bytearray, int] | None:
+        """A packed body, as much of it as is here, and its size in all; None if there is none, or its size is not
+        known yet."""
+        data = self.packed.get((mark, base))
+        if data is None and mark in self.held and (not base or base in self.held):
+            data = self.keep_packed((mark, base), delta.pack(self.held[mark], self.held[base] if base else b""))
+        if data is not None:
+            return data, len(data)
+        fetch = self.fetches.get(mark)
+        if fetch is not None and fetch.base == base and fetch.total >= 0:
+            return fetch.got, fetch.total
+        return None
+
+    def pump(self) -> None:
+        """Hand out slices, one of each transfer in turn, no faster than the link carries them."""
+        if self.pumping:
+            return
+        while (ready := self.next_ready()) is not None:
+            now_s = self.loop.time()
+            if self.free_s > now_s + 0.001:
+                self.pumping = True
+                self.loop.call_later(self.free_s - now_s, self.pump_again)
+                return
+            (link, mark), serving, part, total = ready
+            self.serving[link, mark] = self.serving.pop((link, mark))  # to the end of the turns
+            link.send(frames.Slice(mark, serving.base, total, serving.at, part))
+            serving.at += len(part)
+            self.handed_bytes += len(part)
+            self.free_s = max(self.free_s, now_s) + len(part) / self.per_s
+            if serving.at >= total:
+                self.serving.pop((link, mark), None)
+
+    def pump_again(self) -> None:
+        self.pumping = False
+        self.pump()
+
+    def next_ready(self) -> tuple[tuple[Link, bytes], Serving, bytes, int] | None:
+        """The next transfer that has something to send now, with its slice and the size of the whole."""
+        for key, serving in [*self.serving.items()]:
+            found = self.form(key[1], serving.base)
+            if found is None:
+                if key[1] not in self.fetches:
+                    del self.serving[key]
+                    key[0].send(frames.Lacking(key[1]))
+                continue
+            data, total = found
+            part = bytes(data[serving.at:min(serving.end, serving.at + self.slice)])
+            if part:
+                return key, serving, part, total
+        return None
+
+    def link_lost(self, link: Link) -> None:
+        self.serving = {key: serving for key, serving in self.serving.items() if key[0] is not link}
+        for mark, fetch in [*self.fetches.items()]:
+            if fetch.link is link:
+                fetch.link = None
+                # A connect that fails at once must not be tried again and again.
+                if self.loop.time() - fetch.asked_s > TICK_S:
+                    self.ask_elsewhere(mark, fetch)
--- a/cypressbeam/configuration.py
+++ b/cypressbeam/configuration.py
@@ -87,12 +87,17 @@
 
 def read(body: bytes) -> Configuration:
     """A configuration from its bytes, checked. Raises Invalid."""
+    configuration = read_committed(body)
+    check(configuration)
+    return configuration
+
+
+def read_committed(body: bytes) -> Configuration:
+    """One that the core has checked before it was committed: only its form is read again. Raises Invalid."""
     try:
-        configuration = msgspec.convert(decode(body), Configuration)
+        return msgspec.convert(decode(body), Configuration)
     except msgspec.ValidationError as err:
         raise Invalid(str(err)) from None
-    check(configuration)
-    return configuration
 
 
 def check(configuration: Configuration) -> None:
--- a/cypressbeam/core.py
+++ b/cypressbeam/core.py
@@ -165,8 +165,8 @@
         self.rooted_s = self.loop.time()
         self.relay.become_root(self.chance.getrandbits(63) | 1)
         self.roster = Roster(self.settings.node)
-        self.roster.join(frames.Join(self.settings.node, self.settings.ip, self.settings.zone, self.relay.flags, 1, ""),
-                         self.rooted_s)
+        self.roster.join(frames.Join(self.settings.node, self.settings.ip, self.settings.zone, self.relay.flags, 1, "",
+                                     kbps=max(int(self.settings.link_mbps * 1000), 1)), self.rooted_s)
         if self.settings.platform is not None:
             self.poller = self.loop.create_task(Poller(self.settings.platform, self.take_list).run())
 
--- a/cypressbeam/frames.py
+++ b/cypressbeam/frames.py
@@ -1,7 +1,8 @@
 """What nodes say to each other: frames packed with `struct`, all of them here.
 
 On a stream a frame is its length and kind, then fields in the order of its class. Numbers are in network order; a
-text has 2 bytes of length before it, a blob 4, a list of texts 2 bytes of count.
+text has 2 bytes of length before it, a blob 4, a list of texts 2 bytes of count. A configuration's body goes by its
+digest: whoever lacks it fetches it beside the frame (bodies.py).
 """
 
 from __future__ import annotations
@@ -10,9 +11,13 @@
 from dataclasses import dataclass, fields
 from typing import ClassVar, TypeVar
 
+from cypressbeam.configuration import digest
+
 HEAD = struct.Struct("!IB")
 MOST_FRAME = 16 * 1024 * 1024
 U8, U16, U32, U64 = struct.Struct("!B"), struct.Struct("!H"), struct.Struct("!I"), struct.Struct("!Q")
+#: The bytes of a digest.
+DIGEST = 32
 NUMBERS = {"c": U8, "h": U16, "i": U32, "q": U64}
 
 
@@ -25,7 +30,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Frame:
-    """One message. `FORM` gives its fields in order: c, h, i, q numbers of 1 to 8 bytes; s text; b blob; l texts."""
+    """One message. `FORM` gives its fields in order: c, h, i, q numbers of 1 to 8 bytes; s text; b blob; l texts;
+    d a body, which is its digest on the stream, and after `unpack`."""
 
     KIND: ClassVar[int] = 0
     FORM: ClassVar[str] = ""
@@ -51,6 +57,10 @@
             raise FrameError(f"{cls.__name__}: {len(data) - at} bytes too many")
         return cls(*values)
 
+    def body_field(self) -> bytes:
+        """The body that the frame speaks of, or its digest where the frame comes from a stream; often none."""
+        return getattr(self, "body", b"") if "d" in self.FORM else b""
+
 
 def _pack(form: str, value: object) -> bytes:
     if form in NUMBERS:
@@ -62,6 +72,9 @@
     if form == "b":
         assert isinstance(value, bytes)
         return U32.pack(len(value)) + value
+    if form == "d":
+        assert isinstance(value, bytes)
+        return digest(value) if value else bytes(DIGEST)
     assert form == "l" and isinstance(value, tuple)
     return U16.pack(len(value)) + b"".join(_pack("s", item) for item in value)
 
@@ -78,6 +91,11 @@
             item, at = _unpack("s", data, at)
             items.append(item)
         return tuple(items), at
+    if form == "d":
+        mark = data[at:at + DIGEST]
+        if len(mark) < DIGEST:
+            raise FrameError("a digest ends behind the frame")
+        return (mark if any(mark) else b""), at + DIGEST
     size = U16 if form == "s" else U32
     (length,) = size.unpack_from(data, at)
     at += size.size
@@ -96,7 +114,7 @@
     """A node tells of itself, to a seed or to the root; again and again, for the root's roster is soft."""
 
     KIND = 1
-    FORM = "sssccss"
+    FORM = "sssccssi"
     name: str
     ip: str
     zone: str
@@ -107,6 +125,8 @@
     """The address of a parent that has fallen silent, or nothing."""
     identity: str = ""
     """Of a machine with a disk: its name as a member."""
+    kbps: int = 1_000_000
+    """What its link carries, in kbit/s."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,12 +170,13 @@
 
 @dataclass(frozen=True, slots=True)
 class News(Frame):
-    """A committed configuration, in the operator's own bytes."""
+    """There is a committed configuration; its body is fetched from whoever tells of it."""
 
     KIND = 5
     FORM = "qb"
     revision: int
-    body: bytes
+    mark: bytes
+    """The body's digest."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,7 +229,7 @@
     """A configuration on its way to the head of the chain, from the node that took the call."""
 
     KIND = 10
-    FORM = "qsqbc"
+    FORM = "qsqdc"
     ident: int
     origin: str
     base: int
@@ -233,7 +254,7 @@
     """An entry on its way down the chain."""
 
     KIND = 12
-    FORM = "qqqqbqs"
+    FORM = "qqqqdqs"
     epoch: int
     number: int
     revision: int
@@ -267,7 +288,7 @@
 @dataclass(frozen=True, slots=True)
 class Reading(Frame):
     KIND = 15
-    FORM = "qhb"
+    FORM = "qhd"
     ident: int
     status: int
     body: bytes
@@ -332,7 +353,7 @@
     """The promise is on disk. With it: the view that the member holds, and its newest entry."""
 
     KIND = 21
-    FORM = "qsqllqqqqbb"
+    FORM = "qsqllqqqqdb"
     epoch: int
     name: str
     view: int
@@ -351,7 +372,7 @@
     """The view of an epoch, and the entry that all of its chain begin with (number 0: none yet)."""
 
     KIND = 22
-    FORM = "qllqqqbb"
+    FORM = "qllqqqdb"
     epoch: int
     chain: tuple[str, ...]
     group: tuple[str, ...]
@@ -414,10 +435,45 @@
     flags: int
 
 
+@dataclass(frozen=True, slots=True)
+class Want(Frame):
+    """A part of a packed body is wanted: so many bytes from there on."""
+
+    KIND = 27
+    FORM = "bbii"
+    mark: bytes
+    bases: bytes
+    """Digests of bodies that the asking node has, the newest last; one that goes on names what it has begun with."""
+    at: int
+    length: int
+
+
+@dataclass(frozen=True, slots=True)
+class Slice(Frame):
+    """A part of a body, packed for one who has the base (or none)."""
+
+    KIND = 28
+    FORM = "bbiib"
+    mark: bytes
+    base: bytes
+    total: int
+    at: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Lacking(Frame):
+    """The body that was wanted is not here."""
+
+    KIND = 29
+    FORM = "b"
+    mark: bytes
+
+
 FRAMES: dict[int, type[Frame]] = {
     kind.KIND: kind for kind in (Join, Refer, Place, Attach, News, Servers, Beat, Suspect, Leave, Order, Outcome,
                                  Forward, Committed, Read, Reading, Found, Founded, Pulse, ViewIs, Prepare,
-                                 Promise, Accept, Confirm, Confirmed, Ask, State)}
+                                 Promise, Accept, Confirm, Confirmed, Ask, State, Want, Slice, Lacking)}
 
 
 def unpack(kind: int, body: bytes) -> Frame:
--- a/cypressbeam/gate.py
+++ b/cypressbeam/gate.py
@@ -138,12 +138,8 @@
         """Each service's balancer gets its classes; one that has none any more stays as it was, for requests
         in hand."""
         assert self.table is not None
-        by_service: dict[str, list[Channel]] = {}
-        for channel in self.table.configuration.channels:
-            for share in channel.shares():
-                by_service.setdefault(share.plant, []).append(channel)
-        for service, channels in by_service.items():
-            settings = balancer_settings(channels, self.settings, self.fronts, self.index)
+        for service, kinds in self.table.kinds.items():
+            settings = balancer_settings([*kinds.values()], self.settings, self.fronts, self.index)
             desk = self.desks.get(service)
             if desk is None:
                 self.desks[service] = Desk(self, Balancer(settings, self.chance.getrandbits(63)))
--- a/cypressbeam/node.py
+++ b/cypressbeam/node.py
@@ -72,7 +72,7 @@
         self.listening = listening
         flags = ((frames.FRONT if settings.front else 0) | (frames.QUORUM if settings.quorum_member else 0)
                  | (frames.BOOTSTRAP if settings.bootstrap else 0))
-        self.peers = Peers(settings.ip, settings.peer_port, self.on_frame, self.on_lost)
+        self.peers = Peers(settings.ip, settings.peer_port, self.on_frame, self.on_lost, settings.link_mbps)
         self.relay = Relay(settings, self.peers, flags)
         self.relay.on_configuration = self.take_configuration
         self.relay.on_servers = self.take_servers
@@ -209,7 +209,7 @@
     def take_configuration(self, revision: int, body: bytes) -> None:
         if self.gate is not None:
             try:
-                self.gate.take_configuration(configuration.read(body))
+                self.gate.take_configuration(configuration.read_committed(body))
             except configuration.Invalid as err:  # the head has checked it, so this is a fault of ours
                 log.error("configuration %d: %s", revision, err)
 
@@ -243,7 +243,7 @@
         if isinstance(frame, frames.Beat):
             relay.on_beat(link, frame)
         elif isinstance(frame, frames.News):
-            relay.publish(frame.revision, frame.body)
+            relay.on_news(link, frame)
         elif isinstance(frame, frames.Servers):
             relay.on_listed(link, frame)
         elif isinstance(frame, frames.Attach):
--- a/cypressbeam/peers.py
+++ b/cypressbeam/peers.py
@@ -1,13 +1,16 @@
-"""Connections between nodes: frames over TCP, one connection out to each node that is written to."""
+"""Connections between nodes: frames over TCP, one connection out to each node that is written to, and one more for the
+slices of bodies, so that no frame waits behind them."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
 from collections.abc import Callable
-from typing import cast
+from dataclasses import replace
+from typing import Any, cast
 
 from cypressbeam import frames
+from cypressbeam.bodies import Bodies
 
 log = logging.getLogger(__name__)
 
@@ -15,6 +18,8 @@
 #: one and heard nothing of it for so long opens a new connection for what comes next.
 SILENT_S = 1.5
 CONNECT_TIMEOUT_S = 1.0
+#: The two connections out to a node.
+SMALL, BULK = 0, 1
 #: Bytes that may wait for a peer that does not read.
 MOST_UNWRITTEN = 8 * 1024 * 1024
 
@@ -22,9 +27,10 @@
 class Link(asyncio.Protocol):
     """One connection to another node, either way. Frames sent before it is up wait for it."""
 
-    def __init__(self, peers: Peers, ip: str) -> None:
+    def __init__(self, peers: Peers, ip: str, lane: int = SMALL) -> None:
         self.peers = peers
         self.ip = ip
+        self.lane = lane
         self.buffer = bytearray()
         self.transport: asyncio.Transport | None = None
         self.early: list[bytes] = []
@@ -44,6 +50,8 @@
             self.early.clear()
 
     def send(self, frame: frames.Frame) -> None:
+        if body := frame.body_field():
+            self.peers.bodies.put(body)
         self.send_packed(frame.pack())
 
     def send_packed(self, data: bytes) -> None:
@@ -82,12 +90,23 @@
 
     def take(self, kind: int, body: bytes) -> None:
         try:
-            self.peers.on_frame(self, frames.unpack(kind, body))
+            frame = frames.unpack(kind, body)
         except frames.FrameError as err:
             log.warning("node %s: %s", self.ip, err)
             self.close()
+            return
+        if mark := frame.body_field():
+            self.peers.bodies.need(mark, self.ip, lambda whole: self.hand(replace(cast(Any, frame), body=whole)),
+                                   key=(kind, body))
+        else:
+            self.hand(frame)
+
+    def hand(self, frame: frames.Frame) -> None:
+        """To whoever carries it out, now that it is whole."""
+        try:
+            self.peers.take(self, frame)
         except Exception:
-            log.exception("a frame of kind %d from %s could not be carried out", kind, self.ip)
+            log.exception("%s from %s could not be carried out", type(frame).__name__, self.ip)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.lost()
@@ -107,22 +126,23 @@
     """To the node itself: frames come back in the next turn of the loop."""
 
     def send(self, frame: frames.Frame) -> None:
-        self.peers.loop.call_soon(self.peers.on_frame, self, frame)
+        self.peers.loop.call_soon(self.peers.take, self, frame)
 
 
 class Peers:
     """All connections to other nodes."""
 
     def __init__(self, ip: str, port: int, on_frame: Callable[[Link, frames.Frame], None],
-                 on_lost: Callable[[Link], None]) -> None:
+                 on_lost: Callable[[Link], None], link_mbps: float) -> None:
         self.loop = asyncio.get_running_loop()
         self.ip = ip
+        self.bodies = Bodies(self, link_mbps)
         self.local = LocalLink(self, ip)
         self.port = port
         self.on_frame = on_frame
         self.on_lost = on_lost
         self.links: set[Link] = set()
-        self.out: dict[str, Link] = {}
+        self.out: dict[tuple[str, int], Link] = {}
         self.heard: dict[str, float] = {}
         """When a node was last heard, on any connection, by its address."""
         self.tasks: set[asyncio.Task[None]] = set()
@@ -131,35 +151,51 @@
     async def listen(self) -> None:
         self.server = await self.loop.create_server(lambda: Link(self, ""), self.ip, self.port)
 
-    def to(self, ip: str) -> Link:
+    def take(self, link: Link, frame: frames.Frame) -> None:
+        if isinstance(frame, frames.Slice):
+            self.bodies.on_slice(link, frame)
+        elif isinstance(frame, frames.Want):
+            self.bodies.on_want(link, frame)
+        elif isinstance(frame, frames.Lacking):
+            self.bodies.on_lacking(link, frame)
+        else:
+            self.on_frame(link, frame)
+
+    def to(self, ip: str, lane: int = SMALL) -> Link:
         """The connection out to a node; it comes up by itself."""
         if ip == self.ip:
             return self.local
-        link = self.out.get(ip)
+        link = self.out.get((ip, lane))
         if link is not None and link.transport is not None and link.silent():
             link.close()
             link = None
         if link is None:
-            link = self.out[ip] = Link(self, ip)
+            link = self.out[ip, lane] = Link(self, ip, lane)
             task = self.loop.create_task(self.connect(link))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
         return link
 
+    def bulk(self, ip: str) -> Link:
+        """The connection out for slices of bodies."""
+        return self.to(ip, BULK)
+
     def send(self, ip: str, frame: frames.Frame) -> None:
         self.to(ip).send(frame)
 
     async def connect(self, link: Link) -> None:
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await self.loop.create_connection(lambda: link, link.ip, self.port)
+                # From the node's own address: the other side knows nodes by it, also on machines with several.
+                await self.loop.create_connection(lambda: link, link.ip, self.port, local_addr=(self.ip, 0))
         except (OSError, TimeoutError):
             link.lost()
 
     def forget(self, link: Link) -> None:
         self.links.discard(link)
-        if self.out.get(link.ip) is link:
-            del self.out[link.ip]
+        if self.out.get((link.ip, link.lane)) is link:
+            del self.out[link.ip, link.lane]
+        self.bodies.link_lost(link)
         self.on_lost(link)
 
     def close(self) -> None:
--- a/cypressbeam/relay.py
+++ b/cypressbeam/relay.py
@@ -44,6 +44,12 @@
         self.children: dict[Link, None] = {}  # in the order in which they came, so that runs can be repeated
         self.revision = 0
         self.body = b""
+        self.newest = (0, b"")
+        """The newest version that was told of, and its body's digest."""
+        self.fetching = b""
+        """The digest of the one that is on its way here; one at a time, so that each is the base of the next."""
+        self.bodies = peers.bodies
+        self.bodies.on_progress = self.on_progress
         self.listing = Listing()
         self.fronts = 0
         self.heard_s = 0.0
@@ -96,7 +102,8 @@
     def ask(self, target: str) -> None:
         settings = self.settings
         self.peers.send(target, frames.Join(settings.node, settings.ip, settings.zone, self.flags,
-                                            int(self.place is not None), self.lost, self.identity))
+                                            int(self.place is not None), self.lost, self.identity,
+                                            max(int(settings.link_mbps * 1000), 1)))
 
     def on_refer(self, frame: frames.Refer) -> None:
         if frame.root and frame.root != self.settings.ip and not self.root:
@@ -199,8 +206,9 @@
             link.close()
             return
         self.children[link] = None
-        if self.revision > frame.revision:
-            link.send(frames.News(self.revision, self.body))
+        revision, mark = self.newest if self.fetching else (self.revision, b"")
+        if revision > frame.revision:
+            link.send(frames.News(revision, mark or self.bodies.put(self.body)))
         if self.listing.seq and (frame.life, frame.seq) != (self.listing.life, self.listing.seq):
             link.send(self.listing.whole())
 
@@ -209,9 +217,41 @@
         if revision <= self.revision:
             return
         self.revision, self.body = revision, body
-        self.tell(frames.News(revision, body))
+        mark = self.bodies.put(body)
+        if revision > self.newest[0]:
+            self.newest = (revision, mark)
+        if mark != self.fetching:  # otherwise children were told when it began to come
+            self.tell(frames.News(revision, mark))
+        self.fetching = b""
         self.on_configuration(revision, body)
 
+    def on_news(self, link: Link, frame: frames.News) -> None:
+        """A version is to be had from a node that has it, or a part of it."""
+        if frame.revision <= self.revision or frame.revision < self.newest[0]:
+            return
+        self.newest = (frame.revision, frame.mark)
+        self.fetch(link.ip)
+
+    def fetch(self, source: str) -> None:
+        """Get the newest body, one at a time. Children are told as it begins to come, and take it as it comes."""
+        revision, mark = self.newest
+        if self.fetching and self.fetching != mark and self.fetching in self.bodies.fetches:
+            return
+        if self.fetching != mark:
+            self.fetching = mark
+            self.tell(frames.News(revision, mark))
+        self.bodies.need(mark, source, lambda body: self.take(revision, body, source), key="news")
+
+    def take(self, revision: int, body: bytes, source: str) -> None:
+        self.publish(revision, body)
+        if self.newest[0] > self.revision:
+            self.fetch(self.parent.ip if self.parent is not None else source)
+
+    def on_progress(self, ip: str) -> None:
+        """A part of a body came: its sender lives, though its beats may be late."""
+        if self.parent is not None and ip == self.parent.ip:
+            self.heard_s = self.loop.time()
+
     def on_listed(self, link: Link, frame: frames.Servers) -> None:
         if link is not self.parent:
             return
@@ -233,7 +273,8 @@
         if frame.fronts and frame.fronts != self.fronts:
             self.fronts = frame.fronts
             self.on_place()
-        lacks = (frame.revision > self.revision
+        coming = self.newest[0] if self.fetching in self.bodies.fetches else self.revision
+        lacks = (frame.revision > coming
                  or (frame.seq and (frame.life, frame.seq) != (self.listing.life, self.listing.seq)))
         if lacks and now_s - self.asked_s >= ASK_AGAIN_S:
             self.ask_news()
--- a/cypressbeam/roster.py
+++ b/cypressbeam/roster.py
@@ -13,8 +13,8 @@
 
 from cypressbeam import frames
 
-#: Children of one relay within its zone.
-FAN_OUT = 4
+#: Children of the relays with the thinnest links, and of any one at most; in between by what a link carries.
+FAN_OUT, MOST_FAN_OUT = 4, 24
 #: How many others a node watches.
 WATCHED = 2
 #: A node joins again after so long, and is dropped after missing it for longer.
@@ -34,10 +34,22 @@
     zone: str
     flags: int
     seen_s: float
+    kbps: int = 1_000_000
     shunned: bool = False
     """Somebody has lost it; until it joins again it gets no children."""
 
 
+def feeders(order: list[Known]) -> list[Known | None]:
+    """Who feeds each: those that stand first, as many as their links carry beside the thinnest one."""
+    thinnest = min((known.kbps for known in order), default=1)
+    found: list[Known | None] = [None]
+    for known in order:
+        found += [known] * min(FAN_OUT * max(known.kbps // thinnest, 1), MOST_FAN_OUT)
+        if len(found) >= len(order):
+            break
+    return found[:len(order)]
+
+
 class Roster:
     """All nodes, at the root."""
 
@@ -45,6 +57,8 @@
         self.me = me
         self.nodes: dict[str, Known] = {}
         self.orders: dict[str, list[Known]] = {}
+        self.feeders: dict[str, list[Known | None]] = {}
+        """Who feeds each of a zone's order; nobody there feeds the first."""
         # Worked out anew for each join they cost the root of 1,000 nodes a third of its processor.
         self.watching: dict[str, list[Known]] = {}
         self.names: list[str] = []
@@ -52,13 +66,14 @@
 
     def join(self, frame: frames.Join, now_s: float) -> None:
         known = self.nodes.get(frame.name)
-        if known is not None and (known.ip, known.zone, known.flags) == (frame.ip, frame.zone, frame.flags):
+        if known is not None and (known.ip, known.zone, known.flags, known.kbps) == (
+                frame.ip, frame.zone, frame.flags, frame.kbps):
             known.seen_s = now_s
             self.stale = self.stale or known.shunned
             known.shunned = False
         else:
             self.drop(frame.name)
-            self.enter(Known(frame.name, frame.ip, frame.zone, frame.flags, now_s))
+            self.enter(Known(frame.name, frame.ip, frame.zone, frame.flags, now_s, frame.kbps))
         for other in self.nodes.values():
             if frame.lost and other.ip == frame.lost and not other.shunned and other.name != frame.name:
                 other.shunned = self.stale = True
@@ -94,26 +109,26 @@
                    if known.flags & frames.FRONT and zone in (None, known.zone))
 
     def order(self, zone: str) -> list[Known]:
-        """The traffic-carrying nodes of a zone as they stand in its tree: by weight, doubtful ones last."""
+        """The nodes of a zone as they stand in its tree: the root first, fast links before thin ones, then by weight;
+        doubtful ones last."""
         if self.stale:
-            self.orders = {}
+            self.orders, self.feeders = {}, {}
             self.stale = False
         if zone not in self.orders:
-            fronts = [known for known in self.nodes.values()
-                      if known.zone == zone and known.flags & frames.FRONT]
-            self.orders[zone] = sorted(fronts, key=lambda k: (k.shunned, weight("tree", k.name)))
+            here = [known for known in self.nodes.values() if known.zone == zone]
+            self.orders[zone] = sorted(here, key=lambda k: (k.name != self.me, k.shunned, -k.kbps,
+                                                            weight("tree", k.name)))
+            self.feeders[zone] = feeders(self.orders[zone])
         return self.orders[zone]
 
     def parents(self, known: Known, root: str) -> tuple[str, ...]:
         """Addresses to attach to, best first; the root itself is the last resort. It never leads in a circle: a
         parent stands before its children in the zone's order, and the first is fed by the root."""
-        if not known.flags & frames.FRONT:
-            return (root,)
-        order = self.order(known.zone)
-        at = order.index(known)
-        if at == 0 or order[(at - 1) // FAN_OUT].shunned:
+        at = self.order(known.zone).index(known)
+        feeder = self.feeders[known.zone][at]
+        if feeder is None or feeder.shunned or feeder.ip == root:
             return (root,)
-        return (order[(at - 1) // FAN_OUT].ip, root)
+        return (feeder.ip, root)
 
     def watches(self, known: Known) -> list[Known]:
         """The few that this node watches."""
--- a/cypressbeam/routing.py
+++ b/cypressbeam/routing.py
@@ -4,6 +4,7 @@
 
 import random
 from dataclasses import dataclass
+from functools import lru_cache
 
 from cypressbeam.configuration import Channel, Configuration
 
@@ -27,8 +28,13 @@
 
 
 def kind_of(channel: Channel) -> str:
-    return (f"{channel.mode}/{channel.setpoint_ms:g}/{channel.cutoff_ms:g}"
-            f"/{channel.rank}/{channel.tries}")
+    return kind(channel.mode, channel.setpoint_ms, channel.cutoff_ms, channel.rank, channel.tries)
+
+
+@lru_cache(1024)
+def kind(mode: str, setpoint_ms: float, cutoff_ms: float, rank: int, tries: int) -> str:
+    """Few kinds serve many routes: to write each anew took a third of the time of a new table."""
+    return f"{mode}/{setpoint_ms:g}/{cutoff_ms:g}/{rank}/{tries}"
 
 
 def make_route(channel: Channel) -> Route:
@@ -46,8 +52,13 @@
     def __init__(self, configuration: Configuration) -> None:
         self.configuration = configuration
         self.routes: dict[str, dict[str, Route]] = {}
+        self.kinds: dict[str, dict[str, Channel]] = {}
+        """By service: its kinds of requests, and a route of each."""
         for channel in configuration.channels:
-            self.routes.setdefault(channel.host.lower(), {})[channel.prefix] = make_route(channel)
+            route = make_route(channel)
+            self.routes.setdefault(channel.host.lower(), {})[channel.prefix] = route
+            for service in route.services:
+                self.kinds.setdefault(service, {}).setdefault(route.kind, channel)
 
     def find(self, host: str, path: str) -> Route | None:
         """The route for a Host header (a port in it does not count) and a path without its query."""
--- a/cypressbeam/settings.py
+++ b/cypressbeam/settings.py
@@ -46,6 +46,7 @@
     state_dir: Path | None
     memory_mb: int
     file_handles: int
+    link_mbps: float
     machine_losses: int
     platform: Address | None
     platform_per_s: float
@@ -129,6 +130,7 @@
         quorum_member=lines.flag("quorumMember"), state_dir=Path(state_dir) if state_dir else None,
         memory_mb=lines.number("constraints.memoryMb", 300, 1),
         file_handles=lines.number("constraints.fileHandles", 1024, 64),
+        link_mbps=lines.number("constraints.linkMbps", 1000.0, 0.01),
         machine_losses=lines.number("tolerance.machineLosses", 0),
         platform=lines.address("platform.address"),
         platform_per_s=lines.number("platform.ratePerS", 10.0),
--- a/lab/membership.py
+++ b/lab/membership.py
@@ -61,7 +61,7 @@
         settings = Settings(
             node=name, ip=ip, zone=zone, seeds=seeds, front=None if core else (ip, 8641), readiness=None, control=None,
             internal_ports=PORTS, bootstrap=True, quorum_member=core, state_dir=Path("/nowhere") if core else None,
-            memory_mb=300, file_handles=1024, machine_losses=1, platform=None, platform_per_s=10.0,
+            memory_mb=300, file_handles=1024, link_mbps=1000.0, machine_losses=1, platform=None, platform_per_s=10.0,
             envelope=Envelope())
         self.machines.append((self.net.add(ip, zone), settings))
 
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -372,7 +372,7 @@
 def test_a_beat_that_comes_again_neither_goes_on_nor_counts_as_heard(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario() -> None:
         told: list[frames.Frame] = []
-        peers = Peers("127.0.0.1", 1, lambda link, frame: None, lambda link: None)
+        peers = Peers("127.0.0.1", 1, lambda link, frame: None, lambda link: None, 1000.0)
         relay = Relay(parse(BOOT, "boot.conf"), peers, frames.FRONT)
         monkeypatch.setattr(relay, "tell", told.append)
         relay.parent = Link(peers, "10.0.0.9")
@@ -389,7 +389,7 @@
 
 def test_a_parent_that_is_left_for_a_better_one_is_not_told_to_be_lost() -> None:
     async def scenario() -> None:
-        peers = Peers("127.0.0.1", 1, lambda link, frame: None, lambda link: relay.link_lost(link))
+        peers = Peers("127.0.0.1", 1, lambda link, frame: None, lambda link: relay.link_lost(link), 1000.0)
         relay = Relay(parse(BOOT, "boot.conf"), peers, frames.FRONT)
         root = Link(peers, "127.0.0.9")
         relay.on_placed(root, frames.Place(1, ("127.0.0.9",), ("127.0.0.8", "127.0.0.9"), (), (), 3, 3, 0))
