Send those who read a large configuration to the core; do not drop a node its watchers miss

Change: a node whose link would take over 0.1 s for the body answers a read with 307 to a machine of the core. The commands follow it.

Cause 2: watchers' datagrams are lost where a link is full. Change: one that has joined lately (3 s and 1 s more) is there, whatever watchers say. A parent that is gone is noticed by its children, as before.

Ruled out: the core (view 256 stood, a root was there all along), fetching (an edge's order is committed 0.14 s after its body is there).

--- a/cypressbeam/control.py
+++ b/cypressbeam/control.py
@@ -1,4 +1,7 @@
-"""Control calls: the operator's configuration, taken by any node and passed on; read back from the tail."""
+"""Control calls: the operator's configuration, taken by any node and passed on; read back from the tail.
+
+`elsewhere` gives the address of a node that answers a read sooner, where this one's link is too thin for it.
+"""
 
 from __future__ import annotations
 
@@ -11,6 +14,7 @@
 from cypressbeam import configuration, frames
 from cypressbeam.survey import STATE, Survey
 from mallowworks.carrier import Clock
+from mallowworks.discovery import Address
 from mallowworks.frontend import ClientConnection
 from mallowworks.http import Answer, Limits
 from mallowworks.messages import BadRequest, Message
@@ -42,13 +46,15 @@
     """The application behind a control listener. `view` gives the chain's members, head first, as last known."""
 
     def __init__(self, ip: str, view: Callable[[], tuple[str, ...]],
-                 send: Callable[[str, frames.Frame], None], survey: Survey) -> None:
+                 send: Callable[[str, frames.Frame], None], survey: Survey,
+                 elsewhere: Callable[[], Address | None] = lambda: None) -> None:
         self.loop: asyncio.AbstractEventLoop = asyncio.get_running_loop()
         self.now_us = Clock()
         self.ip = ip
         self.view = view
         self.send = send
         self.survey = survey
+        self.elsewhere = elsewhere
         self.chance = random.SystemRandom()
         self.calls: dict[str, Call] = {}
 
@@ -83,6 +89,10 @@
     def read(self, message: Message, connection: ClientConnection) -> Answer | None:
         if message.method not in (b"GET", b"HEAD"):
             raise BadRequest(405, "Configuration.Read is a GET", b"GET, HEAD")
+        better = self.elsewhere()
+        if better is not None:
+            where = b"http://%s:%d%s" % (better[0].encode(), better[1], READ)
+            return Answer(307, [(b"Location", where)])
         return self.pass_on(frames.Read(self.chance.getrandbits(63), self.ip), connection)
 
     def pass_on(self, frame: frames.Order | frames.Read, connection: ClientConnection) -> Answer | None:
--- a/cypressbeam/core.py
+++ b/cypressbeam/core.py
@@ -16,7 +16,7 @@
 from cypressbeam.listing import Server, read_page
 from cypressbeam.peers import Link
 from cypressbeam.relay import Relay
-from cypressbeam.roster import Roster
+from cypressbeam.roster import RENEW_S, Roster
 from cypressbeam.settings import Settings
 from cypressbeam.store import Storage, StoreError
 from mallowworks.discovery import Address, ListConnection
@@ -30,6 +30,8 @@
 COUNTING_S = 5.0
 #: The root tells seeds that have not joined of itself this often.
 INTRODUCE_S = 0.5
+#: A node that is late with its join by so much, and is not heard by its watchers, is gone.
+SUSPECT_S = 1.0
 #: The founder waits so long for one more machine with a disk, and asks a member again that has not agreed yet.
 FOUNDING_QUIET_S = 0.3
 FOUNDING_AGAIN_S = 0.4
@@ -296,6 +298,13 @@
         assert self.view is not None
         link.send(self.roster.place(frame.name, self.view.epoch, self.view.members, self.settings.ip, self.fronts()))
 
+    def on_suspect(self, name: str) -> None:
+        """A watcher does not hear it. Where a link is full its datagrams are lost, so that alone says little: a node
+        that has joined again since it would have been missed is there."""
+        known = self.roster.nodes.get(name)
+        if known is not None and self.loop.time() - known.seen_s > RENEW_S + SUSPECT_S:
+            self.on_gone(name, "does not answer")
+
     def on_gone(self, name: str, why: str) -> None:
         if name != self.settings.node and name in self.roster.nodes:
             log.info("node %s %s", name, why)
--- a/cypressbeam/node.py
+++ b/cypressbeam/node.py
@@ -37,6 +37,8 @@
 #: All that is in hand is answered so long before the end of the grace period.
 STOP_MARGIN_S = 0.8
 FOUNDING_TICK_S = 0.1
+#: A node whose link would take longer for the whole configuration sends those who read it to the core.
+READ_S = 0.1
 #: How often the settings file is looked at.
 FILE_TICK_S = 1.0
 
@@ -83,7 +85,7 @@
         if settings.state_dir is not None:
             self.core = Core(settings, self.relay, self.peers.send, store or Store(settings.state_dir))
         self.survey = Survey(settings.ip, self.members, self.tell, self.peers.send)
-        self.control = Control(settings.ip, self.members, self.peers.send, self.survey)
+        self.control = Control(settings.ip, self.members, self.peers.send, self.survey, self.better_reader)
         self.founding: Founding | None = None
         self.frontends: list[Frontend] = []
         self.tasks: set[asyncio.Task[None]] = set()
@@ -197,6 +199,15 @@
             return self.core.view.members
         return self.relay.place.members if self.relay.place is not None else ()
 
+    def better_reader(self) -> Address | None:
+        """A machine of the core, where this node's link would take long for the whole configuration. Any of them: one
+        may be down, and the caller asks again."""
+        control, members = self.settings.control, self.members()
+        takes_s = len(self.relay.body) * 8 / (self.settings.link_mbps * 1e6)
+        if control is None or self.core is not None or not members or takes_s < READ_S:
+            return None
+        return self.relay.chance.choice(members), control[1]
+
     def tell(self) -> dict[str, Any]:
         """This node for an operator, in what JSON can hold."""
         relay, settings = self.relay, self.settings
@@ -229,7 +240,7 @@
 
     def on_silent(self, name: str) -> None:
         if self.relay.is_root and self.core is not None:
-            self.core.on_gone(name, "does not answer")
+            self.core.on_suspect(name)
         elif self.relay.root:
             self.peers.send(self.relay.root, frames.Suspect(name))
 
@@ -270,7 +281,10 @@
             core.on_found(link, frame)
         elif isinstance(frame, (frames.Suspect, frames.Leave)):
             if self.relay.is_root:
-                core.on_gone(frame.name, "leaves" if isinstance(frame, frames.Leave) else "does not answer")
+                if isinstance(frame, frames.Leave):
+                    core.on_gone(frame.name, "leaves")
+                else:
+                    core.on_suspect(frame.name)
         else:
             core.on_core(frame)
 
--- a/cypressbeam/operate.py
+++ b/cypressbeam/operate.py
@@ -15,12 +15,14 @@
 from cypressbeam.configuration import Channel, Configuration, Invalid
 from cypressbeam.control import READ, REPLACE
 from cypressbeam.survey import STATE
-from mallowworks.discovery import Address, ListConnection
+from mallowworks.discovery import Address, ListConnection, read_address
 from mallowworks.http import Answer
 
 #: The first field of a saved state, and its version.
 BACKUP_FORMAT = "cypressbeam state 1"
 CALL_S = 5.0
+#: A call is sent elsewhere so often at most.
+MOST_HOPS = 2
 #: A setpoint over this share of the cut-off leaves no time for a second try.
 LATE_SETPOINT = 0.5
 
@@ -83,9 +85,22 @@
 # -- the configuration -------------------------------------------------------------------------------------------
 
 
+def read_location(answer: Answer) -> Address:
+    """Where a node with a thin link sends those who read. Raises Refused."""
+    location = (answer.header(b"location") or b"").decode("latin-1")
+    try:
+        return read_address(location.removeprefix("http://").partition("/")[0])
+    except ValueError:
+        raise Refused(f"307: Location is {location!r}; http://host:port is wanted") from None
+
+
 async def read(where: Address) -> bytes:
     """The configuration in force. Raises Refused; its text begins with 404 where there is none yet."""
     answer = await call(where, "GET", READ)
+    for _ in range(MOST_HOPS):
+        if answer.status != 307:
+            break
+        answer = await call(read_location(answer), "GET", READ)
     if answer.status != 200:
         raise Refused(f"{answer.status}: {answer.body.decode(errors='replace').strip() or 'no configuration'}")
     return answer.body
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -13,6 +13,7 @@
 
 import cbor2
 
+from cypressbeam import operate
 from lab.standins import Platform, Server
 from lab.system import Machine, System, status_of
 from lab.up import HOST, demo_configuration, push, push_until_taken
@@ -199,6 +200,25 @@
     run(scenario())
 
 
+def test_a_node_with_a_thin_link_sends_those_who_read_to_the_core() -> None:
+    many = demo_configuration(2)
+    many["channels"] += [many["channels"][0] | {"label": f"more-{number}", "prefix": f"/more/{number}/"}
+                         for number in range(300)]
+
+    async def scenario() -> None:
+        async with rig(edges=1, extra={"constraints.linkMbps": "2.75"}) as made:
+            (edge,), cores = made.edges, made.system.machines[:3]
+            assert (await read_back(edge)).body == DEMO  # a small one is told at once
+            assert (await push(edge, cbor2.dumps(many), 1))[0] == 200
+            async with asyncio.timeout(20.0):
+                while (answer := await read_back(edge)).status != 307:
+                    assert answer.status == 200
+            location = (answer.header(b"location") or b"").decode()
+            assert location in [f"http://{core.ip}:{core.control[1]}/-/Configuration.Read" for core in cores]
+            assert await operate.read(edge.control) == cbor2.dumps(many)
+    run(scenario())
+
+
 def test_a_configuration_of_many_hundred_routes_is_taken_and_outlives_the_core() -> None:
     many = demo_configuration(2)
     many["channels"] += [many["channels"][0] | {"label": f"more-{number}", "prefix": f"/more/{number}/"}
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -120,6 +120,33 @@
         cluster.close()
 
 
+def test_a_node_that_joins_is_not_dropped_because_its_watchers_do_not_hear_it() -> None:
+    """Datagrams are lost where a link is full: 75 of 77 nodes were dropped from the roster in a second once."""
+    cluster = Cluster(8, 1)
+
+    async def scenario() -> None:
+        for machine in cluster.machines:
+            cluster.start(*machine)
+        await cluster.until(lambda: cluster.root is not None and len(cluster.root.core.roster.nodes) == 11)  # type: ignore
+        root = cluster.root
+        assert root is not None and root.core is not None
+        name = cluster.edges[0].settings.node
+        for _ in range(80):
+            root.on_frame(root.peers.local, frames.Suspect(name))
+            await asyncio.sleep(0.1)
+            assert name in root.core.roster.nodes
+        host = next(host for host, settings in cluster.machines if settings.node == name)
+        cluster.net.stop(host)
+        await asyncio.sleep(4.5)
+        root.on_frame(root.peers.local, frames.Suspect(name))
+        assert name not in root.core.roster.nodes
+    try:
+        cluster.run(scenario())
+        assert not cluster.net.faults
+    finally:
+        cluster.close()
+
+
 def test_frames_of_the_survey_go_there_and_back() -> None:
     state = frames.State(1, "10.0.0.1/ab", 300, ("a", "b"), ("a", "b", "c"), 301, 4, 40, 3, frames.ROOT)
     packed = state.pack()
