Simulate links with a bandwidth; hand on a body only on a base that both sides have

The simulated network knew delay and loss, but every link carried all at once; so no test could show what thin links do.

The base is chosen once it can be told.

--- a/cypressbeam/bodies.py
+++ b/cypressbeam/bodies.py
@@ -71,9 +71,11 @@
 class Serving:
     """A body that a child fetches from here: its next slice begins at `at`, and goes at most up to `end`."""
 
-    base: bytes
+    bases: list[bytes]
     at: int
     end: int
+    base: bytes | None = None
+    """What it is packed on; None while that can't be told, for the body is on its way here itself."""
 
 
 class Bodies:
@@ -227,27 +229,27 @@
     def on_want(self, link: Link, frame: frames.Want) -> None:
         """A node wants a part of a body, and names what it has that might serve as a base."""
         bases = [frame.bases[at:at + frames.DIGEST] for at in range(0, len(frame.bases), frames.DIGEST)]
-        fetch = self.fetches.get(frame.mark)
-        if frame.mark in self.held:
-            base = next((base for base in reversed(bases) if base in self.held and base != frame.mark), b"")
-        elif fetch is not None:
-            base = fetch.base
-            if base and base not in bases:
-                base = b""
-        else:
-            link.send(frames.Lacking(frame.mark))
-            return
-        # One that goes on asks for the base that it has begun with. Where that is not here it begins anew.
-        goes_on = frame.at == 0 or [base] == bases or (not base and not bases)
-        at = frame.at if goes_on else 0
         key = (link, frame.mark)
         serving = self.serving.get(key)
-        if serving is not None and (serving.base, serving.end) == (base, at):
+        if serving is not None and serving.end == frame.at and serving.base == frame.bases:
             serving.end += frame.length
         else:
-            self.serving[key] = Serving(base, at, at + frame.length)
+            self.serving[key] = Serving(bases, frame.at, frame.at + frame.length)
         self.pump()
 
+    def settle_base(self, mark: bytes, serving: Serving) -> None:
+        """Choose what a body is packed on: the newest that both sides have, or what it comes packed on here, which can
+        be handed on as it comes. One that goes on names only the base that it has begun with; where that is not here
+        it begins anew."""
+        fetch = self.fetches.get(mark)
+        if mark in self.held:
+            serving.base = next((base for base in reversed(serving.bases) if base in self.held and base != mark), b"")
+        elif fetch is not None and fetch.total >= 0 and (not fetch.base or fetch.base in serving.bases):
+            serving.base = fetch.base
+        if serving.base is not None and serving.at and serving.bases != [serving.base] and (
+                serving.base or serving.bases):
+            serving.at, serving.end = 0, serving.end - serving.at
+
     def form(self, mark: bytes, base: bytes) -> tuple[bytes | bytearray, int] | None:
         """A packed body, as much of it as is here, and its size in all; None if there is none, or its size is not
         known yet."""
@@ -273,6 +275,7 @@
                 return
             (link, mark), serving, part, total = ready
             self.serving[link, mark] = self.serving.pop((link, mark))  # to the end of the turns
+            assert serving.base is not None
             link.send(frames.Slice(mark, serving.base, total, serving.at, part))
             serving.at += len(part)
             self.handed_bytes += len(part)
@@ -287,7 +290,9 @@
     def next_ready(self) -> tuple[tuple[Link, bytes], Serving, bytes, int] | None:
         """The next transfer that has something to send now, with its slice and the size of the whole."""
         for key, serving in [*self.serving.items()]:
-            found = self.form(key[1], serving.base)
+            if serving.base is None:
+                self.settle_base(key[1], serving)
+            found = self.form(key[1], serving.base) if serving.base is not None else None
             if found is None:
                 if key[1] not in self.fetches:
                     del self.serving[key]
--- a/cypressbeam/relay.py
+++ b/cypressbeam/relay.py
@@ -40,6 +40,7 @@
         self.place: frames.Place | None = None
         self.root = ""
         self.parent: Link | None = None
+        self.silences = 0  # parents that were given up for it
         self.tried = 0  # parents of the place that were tried
         self.children: dict[Link, None] = {}  # in the order in which they came, so that runs can be repeated
         self.revision = 0
@@ -75,6 +76,7 @@
         if self.is_root:
             return
         if self.parent is not None and now_s - self.heard_s > SILENCE_S:
+            self.silences += 1
             log.warning("parent %s has fallen silent", self.parent.ip)
             self.leave_parent()
         if self.parent is None or (not self.leaving and now_s - self.joined_s >= RENEW_S):
--- a/lab/membership.py
+++ b/lab/membership.py
@@ -41,9 +41,12 @@
 class Cluster:
     """Core and edge nodes on a simulated network, from one seed."""
 
-    def __init__(self, edges: int, seed: int) -> None:
+    def __init__(self, edges: int, seed: int, edge_mbps: float = 1000.0, core_mbps: float = 1000.0,
+                 routes: int = 0) -> None:
+        """With links of so many Mbit/s, and so many routes in the configuration beside a few."""
         self.net = Net(seed)
         self.seed = seed
+        self.edge_mbps, self.core_mbps, self.routes = edge_mbps, core_mbps, routes
         self.machines: list[tuple[Host, Settings]] = []
         self.nodes: dict[str, SimulatedNode] = {}
         self.disks: dict[str, Disk] = {}
@@ -61,9 +64,12 @@
         settings = Settings(
             node=name, ip=ip, zone=zone, seeds=seeds, front=None if core else (ip, 8641), readiness=None, control=None,
             internal_ports=PORTS, bootstrap=True, quorum_member=core, state_dir=Path("/nowhere") if core else None,
-            memory_mb=300, file_handles=1024, link_mbps=1000.0, machine_losses=1, platform=None, platform_per_s=10.0,
+            memory_mb=300, file_handles=1024,
+            link_mbps=self.core_mbps if core else self.edge_mbps, machine_losses=1, platform=None, platform_per_s=10.0,
             envelope=Envelope())
-        self.machines.append((self.net.add(ip, zone), settings))
+        host = self.net.add(ip, zone)
+        host.mbps = settings.link_mbps
+        self.machines.append((host, settings))
 
     @property
     def loop(self) -> asyncio.AbstractEventLoop:
@@ -99,21 +105,31 @@
         """Do something as that node's machine, so that what it sets up lives there."""
         self.net.hosts[node.settings.ip].context.copy().run(what, *args)
 
+    def configuration(self, revision: int) -> bytes:
+        """Each version changes one of the many routes."""
+        made = demo_configuration(revision)
+        pattern = made["channels"][0]
+        made["channels"] += [pattern | {"label": f"r-{number * 7919 % 100_003}", "host": f"h{number % 60}.example",
+                                        "prefix": f"/p{number * 104_729 % 999_983}/",
+                                        "cutoffMs": 5000 + (number == revision)} for number in range(self.routes)]
+        return cbor2.dumps(made)
+
     def order(self) -> None:
         """A new configuration, at the head."""
         self.revision += 1
-        body = cbor2.dumps(demo_configuration(self.revision))
+        body = self.configuration(self.revision)
         members = next(node.members() for node in self.nodes.values() if node.core is not None)
         head = next(node for node in self.nodes.values() if node.settings.ip == members[0])
         assert head.core is not None
         self.at(head, head.core.on_core, frames.Order(self.revision, head.settings.ip, self.revision - 1, body))
 
-    def poll(self, servers: int) -> tuple[int, int]:
+    def poll(self, servers: int, drained: int = 0) -> tuple[int, int]:
         """A new list at the root; its life and number."""
         root = self.root
         assert root is not None and root.core is not None
         self.at(root, root.core.take_list, [
-            listing.Server(f"i-{number}", "finder", (f"10.9.0.{number}", 80), "a", 8, listing.IN_SERVICE, 0)
+            listing.Server(f"i-{number}", "finder", (f"10.9.0.{number}", 80), "a", 8,
+                           listing.DRAINING if number < drained else listing.IN_SERVICE, 0)
             for number in range(servers)])
         return root.relay.listing.life, root.relay.listing.seq
 
--- a/lab/simulation.py
+++ b/lab/simulation.py
@@ -3,12 +3,15 @@
 The event loop is asyncio's own with another clock: where it would wait for sockets, time jumps to the next timer.
 Connections and datagrams between hosts are carried by `Net`, with delay, loss, cuts and hosts that lose their power.
 A connection keeps the order of its bytes, whatever is lost on the way: loss shows as delay, as it does with TCP.
+A machine's link carries so many bits a second each way, for all its connections together, in the order in which they
+come.
 """
 
 from __future__ import annotations
 
 import asyncio
 import contextvars
+import math
 import random
 import selectors
 from collections import Counter
@@ -27,6 +30,8 @@
 LATER_S = 1e-7
 #: Bytes that can't get through are sent again after so long, then after twice that, and so on.
 PROBE_S, MOST_PROBE_S = 0.2, 60.0
+#: Datagrams are dropped where a link has so much waiting already.
+FULL_S = 0.2
 #: A machine that is known but has no listener refuses at once; one without power lets the caller wait.
 FOREVER_S = 3600.0
 
@@ -60,6 +65,10 @@
     context: contextvars.Context = field(default_factory=contextvars.copy_context)
     messages: int = 0
     bytes: int = 0
+    mbps: float = math.inf
+    out_free_s: float = 0.0
+    in_free_s: float = 0.0
+    """When its link will have carried what waits, each way."""
 
 
 def while_alive(callback: Callable[..., object], context: contextvars.Context | None) -> Callable[..., object]:
@@ -177,7 +186,7 @@
         if (self.peer.life, self.peer.up) != (self.lives[1], True):
             self.end(ConnectionResetError("another life"))  # it knows nothing of this connection
             return
-        self.arrives_s = max(self.arrives_s + LATER_S, self.net.loop.time() + self.net.delay(self.host, self.peer))
+        self.arrives_s = max(self.arrives_s + LATER_S, self.net.through(self.host, self.peer, len(data)))
         assert self.other is not None
         self.net.loop.call_at(self.arrives_s, self.other.take, data, context=self.peer.context)
 
@@ -218,7 +227,7 @@
         self.host.messages += 1
         self.host.bytes += len(data)
         to = self.net.hosts.get(addr[0])
-        if to is None or not self.net.open(self.host, to) or self.net.lost():
+        if to is None or not self.net.open(self.host, to) or self.net.lost() or self.net.full(self.host, to):
             return
         self.net.loop.call_later(self.net.way(self.host, to), self.net.hand, to, addr[1], bytes(data),
                                  (self.host.ip, self.port), context=to.context)
@@ -270,6 +279,16 @@
             delay_s += RESEND_S
         return delay_s
 
+    def through(self, one: Host, other: Host, size: int) -> float:
+        """When bytes that are sent now on a connection are there: the links at both ends carry them one after
+        another, behind what waits there."""
+        one.out_free_s = max(one.out_free_s, self.loop.time()) + size * 8e-6 / one.mbps
+        other.in_free_s = max(other.in_free_s, one.out_free_s + self.delay(one, other)) + size * 8e-6 / other.mbps
+        return other.in_free_s
+
+    def full(self, one: Host, other: Host) -> bool:
+        return max(one.out_free_s, other.in_free_s) > self.loop.time() + FULL_S
+
     def hand(self, to: Host, port: int, data: bytes, source: tuple[str, int]) -> None:
         if port in to.sockets:
             to.sockets[port].protocol.datagram_received(data, source)
