Promise only once a view on this disk counts this machine in its group

Cause: a machine that came back with an empty disk was named in a new group by a view that only its proposer had put on disk. Another machine heard of that group, and asked the empty one for its promise: the two were a majority, and neither knew of what had been acknowledged.

Ruled out: chain, promises on disk, the choice of the newest entry; see docs/incidents/009, with 007 and 008 beside it. Change: no promise before a view with this machine in its group is on its own disk. Newcomers need none to be taken in.

--- a/cypressbeam/agreement.py
+++ b/cypressbeam/agreement.py
@@ -8,6 +8,10 @@
 
 Sources: Vertical Paxos (Lamport, Malkhi, Zhou, 2009) for mending a chain by views; Paxos for the promise.
 
+A machine promises only once it has itself put a view on disk that counts it in its group. One that came back with an
+empty disk is named in a new group before it has that view, and others may hear of the group from a single machine that has
+it: a majority with the empty one in it would know of nothing (docs/incidents/009).
+
 Invariants: a promise never goes down, and survives on disk; two views of one epoch are never active with different
 chains; what a view begins with is at least as new as all that was ever committed; a machine that lost its disk is
 in no majority until a view has taken it in under its new identity; no chain has fewer than `copies` members.
@@ -145,6 +149,8 @@
         """The newest that this machine knows of; it may have no place in it."""
         self.promised = 0
         self.seen_epoch = 0
+        self.taken_in = False
+        """A view on this disk counts this machine in its group."""
         self.member: Member | None = None
         self.last: Entry | None = None
         self.taken: dict[int, bytes] = {}
@@ -181,6 +187,7 @@
     def hold(self, view: View) -> None:
         """This machine has put a view on disk, or finds it there."""
         self.view = view
+        self.taken_in = self.taken_in or self.name in view.group
         self.seen_epoch = max(self.seen_epoch, view.epoch)
         self.reads.clear()  # what others have confirmed was the epoch before; callers ask again
         self.member = None
@@ -349,6 +356,8 @@
         if frame.epoch <= self.promised:
             return []
         self.seen_epoch = max(self.seen_epoch, frame.epoch)
+        if not self.taken_in:
+            return []
         self.promised = frame.epoch
         if self.member is not None:
             self.member.sealed = True
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -60,6 +60,25 @@
     assert histories.fails(468, histories.make_plan(468)) is None
 
 
+def test_a_machine_with_an_empty_disk_promises_nothing_before_a_view_has_taken_it_in() -> None:
+    """Another machine had heard of the group that names it, from the only one that held that view: the two of them
+    were a majority, and undid an acknowledged change (seed 3165)."""
+    world = quiet_world(6)
+    replace(world)
+    world.stop("c", wipe=True)
+    world.start("c")
+    keeper = world.keepers["c"]
+    assert keeper.on_prepare(frames.Prepare(290, "b/0"), world.now_s) == []
+    group = ("a/0", "b/0", keeper.name)
+    keeper.on_view(frames.ViewIs(300, ("a/0", "b/0"), group), world.now_s)  # told, and not on its disk
+    assert keeper.on_prepare(frames.Prepare(310, "b/0"), world.now_s) == []
+    world.run(world.now_s + 6.0)
+    assert keeper.view is not None and keeper.name in keeper.view.group  # the others have taken it in
+    (saved,) = keeper.on_prepare(frames.Prepare(keeper.promised + 256, "b/0"), world.now_s)
+    assert isinstance(saved, agreement.SavePromise)
+    assert histories.fails(3165, histories.make_plan(3165)) is None
+
+
 def test_a_head_names_the_version_in_force_only_once_others_have_confirmed_its_epoch() -> None:
     """One that had been cut off refused by an older version than the one acknowledged meanwhile (seed 1679)."""
     world = quiet_world(8)
