Take an empty machine in without its promise; wait longer while a view is being taken up

Pulses say now whether a machine has a view on disk; one that has none is put into the chain as a newcomer is. The wait before the next proposal grows while the last view is not active, up to four times, and is back to one once it is.

The root of the relays stays it for 1 s while its view is not active and names it as the tail: a view was a new life of the list before, and the whole fleet lost its tree.

--- a/cypressbeam/agreement.py
+++ b/cypressbeam/agreement.py
@@ -9,8 +9,8 @@
 Sources: Vertical Paxos (Lamport, Malkhi, Zhou, 2009) for mending a chain by views; Paxos for the promise.
 
 A machine promises only once it has itself put a view on disk that counts it in its group. One that came back with an
-empty disk is named in a new group before it has that view, and others may hear of the group from a single machine that has
-it: a majority with the empty one in it would know of nothing (docs/incidents/009).
+empty disk is named in a new group before it has that view, and others may hear of the group from a single machine that
+has it: a majority with the empty one in it would know of nothing (docs/incidents/009).
 
 Invariants: a promise never goes down, and survives on disk; two views of one epoch are never active with different
 chains; what a view begins with is at least as new as all that was ever committed; a machine that lost its disk is
@@ -37,7 +37,10 @@
 GATHER_S = 0.3
 PROPOSAL_S = 1.2
 #: After proposals that came to nothing the next may take so many times as long: bodies may be slow to come.
-MOST_PATIENCE = 8
+MOST_PATIENCE = 4
+#: The root of the relays stays it for so long while its view is not active: as a rule the next one has the same tail,
+#: and the tree of the whole fleet would be torn down and put together again.
+ROOT_GRACE_S = 1.0
 #: A write that has not come back by then is a disk that does not work, until it does.
 STALL_S = 1.0
 #: A disk that refused a write is tried again after so long.
@@ -94,6 +97,7 @@
     epoch: int
     promised: int
     disk: bool
+    taken_in: bool
     at_s: float
 
 
@@ -162,6 +166,8 @@
         self.wrong_since_s: float | None = None
         self.pulse_due_s = 0.0
         self.root = False
+        self.root_s = 0.0
+        """When this machine was last the root by right."""
         self.writes: list[float] = []
         """When the writes that have not come back were begun."""
         self.disk_failed_s: float | None = None
@@ -235,6 +241,15 @@
                 found[name] = heard.name
         return found
 
+    def may_promise(self) -> bool:
+        return self.taken_in
+
+    def empty(self, name: str, now_s: float) -> bool:
+        """Whether a machine of the group is there and has no view on its disk yet: it promises nothing, and is taken
+        into the chain without that."""
+        heard = self.heard.get(ip_of(name))
+        return name != self.name and self.present(name, now_s) and heard is not None and not heard.taken_in
+
     # -- upkeep --------------------------------------------------------------------------------------------
 
     def tick(self, now_s: float) -> list[Action]:
@@ -249,9 +264,14 @@
         member = self.member
         if member is not None:
             if not member.active and not member.sealed and self.all_hold(now_s):
+                self.patience = 1
                 actions += member.activate(now_s)
             actions += member.tick(now_s)
         root = member is not None and member.is_tail() and self.leads(now_s)
+        if root:
+            self.root_s = now_s
+        elif self.root and ip_of(self.view.chain[-1]) == self.ip and now_s - self.root_s < ROOT_GRACE_S:
+            root = True
         if root is not self.root:
             self.root = root
             actions.append(Lead(root))
@@ -278,11 +298,12 @@
 
     def own_pulse(self, now_s: float) -> frames.Pulse:
         epoch = self.member.view.epoch if self.member is not None else 0
-        return frames.Pulse(self.name, epoch, self.promised, int(self.disk_works(now_s)))
+        return frames.Pulse(self.name, epoch, self.promised, int(self.disk_works(now_s)), int(self.may_promise()))
 
     def on_pulse(self, frame: frames.Pulse, now_s: float) -> list[Action]:
         ip = ip_of(frame.name)
-        self.heard[ip] = Heard(frame.name, frame.epoch, frame.promised, bool(frame.disk), now_s)
+        self.heard[ip] = Heard(frame.name, frame.epoch, frame.promised, bool(frame.disk), bool(frame.taken_in),
+                               now_s)
         self.seen_epoch = max(self.seen_epoch, frame.promised, frame.epoch)
         if self.view is not None and frame.epoch < self.view.epoch:
             view = self.view
@@ -338,7 +359,9 @@
         present = [name for name in view.group if self.present(name, now_s)]
         if self.name not in present or len(present) < self.majority(view.group) or self.proposal is not None:
             return []
-        wait_s = WRONG_S + present.index(self.name) * STAGGER_S + self.jitter() * STAGGER_S / 2
+        # While a view is being taken up some may still wait for what it begins with.
+        patience = self.patience if self.member is not None and not self.member.active else 1
+        wait_s = WRONG_S * patience + present.index(self.name) * STAGGER_S + self.jitter() * STAGGER_S / 2
         if now_s - self.wrong_since_s < wait_s:
             return []
         return self.propose(now_s)
@@ -346,6 +369,8 @@
     def propose(self, now_s: float) -> list[Action]:
         assert self.view is not None
         group = self.view.group
+        if self.member is not None and not self.member.active:
+            self.patience = min(2 * self.patience, MOST_PATIENCE)
         # No two machines ever propose the same epoch: its last eight bits are the proposer's place.
         epoch = (self.seen_epoch >> 8) + 1 << 8 | group.index(self.name)
         self.seen_epoch = epoch
@@ -356,7 +381,7 @@
         if frame.epoch <= self.promised:
             return []
         self.seen_epoch = max(self.seen_epoch, frame.epoch)
-        if not self.taken_in:
+        if not self.may_promise():
             return []
         self.promised = frame.epoch
         if self.member is not None:
@@ -408,7 +433,7 @@
         if proposal.sent or not proposal.enough_s:
             return []
         missing = [name for name in proposal.group
-                   if name not in proposal.promises and self.present(name, now_s)]
+                   if name not in proposal.promises and self.present(name, now_s) and not self.empty(name, now_s)]
         if missing and now_s - proposal.enough_s < GATHER_S:
             return []
         return self.decide(proposal, now_s)
@@ -417,7 +442,7 @@
         assert self.view is not None
         new = self.newcomers(now_s)
         group = tuple(new.get(name, name) for name in proposal.group)
-        there = set(proposal.promises) | set(new.values())
+        there = set(proposal.promises) | set(new.values()) | {name for name in group if self.empty(name, now_s)}
         # The tail stays where it was if it can: it is the root of the relays.
         kept = [name for name in self.view.chain if name in there]
         members = [name for name in group if name in there and name not in kept] + kept
@@ -453,7 +478,7 @@
         if self.accepting == view:
             self.accepting = None
         self.last, self.taken = entry, taken
-        self.proposal, self.patience = None, 1
+        self.proposal = None
         self.wrong_since_s = None
         self.hold(view)
         return self.pulse(now_s) + self.tick(now_s)
--- a/cypressbeam/frames.py
+++ b/cypressbeam/frames.py
@@ -317,14 +317,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Pulse(Frame):
-    """A member lives: the view it holds, the epoch it has promised, whether its disk works."""
+    """A member lives: the view it holds, the epoch it has promised, whether its disk works and counts it in a group."""
 
     KIND = 18
-    FORM = "sqqc"
+    FORM = "sqqcc"
     name: str
     epoch: int
     promised: int
     disk: int
+    taken_in: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -470,10 +471,18 @@
     mark: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Released(Frame):
+    """The sender feeds this child no more; another parent is to be found. The connection stays for other frames."""
+
+    KIND = 30
+    FORM = ""
+
+
 FRAMES: dict[int, type[Frame]] = {
     kind.KIND: kind for kind in (Join, Refer, Place, Attach, News, Servers, Beat, Suspect, Leave, Order, Outcome,
                                  Forward, Committed, Read, Reading, Found, Founded, Pulse, ViewIs, Prepare,
-                                 Promise, Accept, Confirm, Confirmed, Ask, State, Want, Slice, Lacking)}
+                                 Promise, Accept, Confirm, Confirmed, Ask, State, Want, Slice, Lacking, Released)}
 
 
 def unpack(kind: int, body: bytes) -> Frame:
--- a/lab/histories.py
+++ b/lab/histories.py
@@ -528,6 +528,11 @@
     patch(Keeper, "load", load)
 
 
+def promise_with_an_empty_disk(patch: Patch) -> None:
+    """A machine promises though no view on its disk counts it in a group."""
+    patch(Keeper, "may_promise", lambda self: True)
+
+
 def acknowledge_at_the_head(patch: Patch) -> None:
     """An order is answered once its first copy is on disk."""
     real = Member.synced
@@ -565,7 +570,8 @@
 #: By name: what patches the rules, and the options of the world that it is played in.
 FAULTS: dict[str, tuple[Callable[[Patch], None] | None, dict[str, Any]]] = {
     "skip-a-sync": (None, {"lying": True}),
-    "count-a-wiped-machine": (None, {"same_name": True}),
+    "count-a-wiped-machine": (promise_with_an_empty_disk, {"same_name": True}),
+    "count-a-newcomer": (promise_with_an_empty_disk, {}),
     "accept-a-lower-epoch": (forget_promises, {}),
     "acknowledge-at-the-head": (acknowledge_at_the_head, {}),
     "begin-with-the-oldest": (begin_with_the_oldest, {}),
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -108,7 +108,8 @@
     assert [call.ended_s for call in first.calls.values()] == [call.ended_s for call in again.calls.values()]
 
 
-@pytest.mark.parametrize("name", ["skip-a-sync", "acknowledge-at-the-head", "begin-with-the-oldest", "decide-alone"])
+@pytest.mark.parametrize("name", ["skip-a-sync", "acknowledge-at-the-head", "begin-with-the-oldest", "decide-alone",
+                                  "acknowledge-while-cut-off", "count-a-wiped-machine"])
 def test_a_rule_that_is_left_out_shows_in_some_history(name: str) -> None:
     with histories.fault(name) as options:
         found = histories.search(range(60), **options)
