Begin hanging connects anew when their machine is heard; let children go without closing

Change: a connect is given up after 0.4 s, later ones after up to 1.6; a connection that comes up with a node begins hanging ones to it anew. A relay that lets its children go tells them, and the connection stays. Machines without clients give bodies 0.9 of their link.

--- a/cypressbeam/bodies.py
+++ b/cypressbeam/bodies.py
@@ -31,8 +31,8 @@
 SLICE_S, WINDOW_S = 0.01, 0.06
 SLICE_BYTES = (2 * 1024, 32 * 1024)
 WINDOW_BYTES = (8 * 1024, 256 * 1024)
-#: Slices take at most this share of the link; requests have the rest.
-LINK_SHARE = 0.5
+#: Slices take at most this share of the link; requests have the rest, where a node carries any.
+LINK_SHARE, FREE_SHARE = 0.5, 0.9
 #: A source that has sent nothing for so long is asked again, or another one; a fetch without progress is over.
 STALL_S = 0.8
 GIVE_UP_S = 6.0
@@ -81,13 +81,13 @@
 class Bodies:
     """All bodies of one node. `on_progress` gets the address of a node that has just sent a part of one."""
 
-    def __init__(self, peers: Peers, link_mbps: float) -> None:
+    def __init__(self, peers: Peers, link_mbps: float, shared: bool) -> None:
         self.peers = peers
         self.loop = asyncio.get_running_loop()
         per_s = link_mbps * 1e6 / 8
         self.slice = int(min(max(per_s * SLICE_S, SLICE_BYTES[0]), SLICE_BYTES[1]))
         self.window = int(min(max(per_s * WINDOW_S, WINDOW_BYTES[0]), WINDOW_BYTES[1]))
-        self.per_s = per_s * LINK_SHARE
+        self.per_s = per_s * (LINK_SHARE if shared else FREE_SHARE)
         self.held: OrderedDict[bytes, bytes] = OrderedDict()
         self.packed: OrderedDict[tuple[bytes, bytes], bytes] = OrderedDict()
         self.fetches: dict[bytes, Fetch] = {}
--- a/cypressbeam/node.py
+++ b/cypressbeam/node.py
@@ -74,7 +74,8 @@
         self.listening = listening
         flags = ((frames.FRONT if settings.front else 0) | (frames.QUORUM if settings.quorum_member else 0)
                  | (frames.BOOTSTRAP if settings.bootstrap else 0))
-        self.peers = Peers(settings.ip, settings.peer_port, self.on_frame, self.on_lost, settings.link_mbps)
+        self.peers = Peers(settings.ip, settings.peer_port, self.on_frame, self.on_lost, settings.link_mbps,
+                           settings.front is not None)
         self.relay = Relay(settings, self.peers, flags)
         self.relay.on_configuration = self.take_configuration
         self.relay.on_servers = self.take_servers
@@ -257,6 +258,8 @@
             relay.on_news(link, frame)
         elif isinstance(frame, frames.Servers):
             relay.on_listed(link, frame)
+        elif isinstance(frame, frames.Released):
+            relay.on_released(link)
         elif isinstance(frame, frames.Attach):
             relay.on_attach(link, frame)
         elif isinstance(frame, frames.Join):
--- a/cypressbeam/peers.py
+++ b/cypressbeam/peers.py
@@ -17,7 +17,11 @@
 #: A machine without power stays silent, and the kernel goes on sending to it, ever more seldom. Whoever has written to
 #: one and heard nothing of it for so long opens a new connection for what comes next.
 SILENT_S = 1.5
-CONNECT_TIMEOUT_S = 1.0
+#: A connect that gets no answer is given up after the first of these, and later ones after longer, up to the last: a
+#: machine without power is tried again soon, one behind a full link has the time it needs.
+CONNECT_TIMEOUT_S = (0.4, 1.6)
+#: One that has not come up after so long is begun anew when its machine is heard: it runs by now.
+CONNECT_QUIET_S = 0.05
 #: The two connections out to a node.
 SMALL, BULK = 0, 1
 #: Bytes that may wait for a peer that does not read.
@@ -35,6 +39,8 @@
         self.transport: asyncio.Transport | None = None
         self.early: list[bytes] = []
         self.closed = False
+        self.begun_s = peers.loop.time()
+        self.connecting: asyncio.Task[None] | None = None
         self.asked_s = 0.0
         """When the first bytes were sent since the node was last heard."""
 
@@ -48,6 +54,7 @@
         if self.early:
             self.transport.write(b"".join(self.early))
             self.early.clear()
+        self.peers.on_up(self.ip)
 
     def send(self, frame: frames.Frame) -> None:
         if body := frame.body_field():
@@ -133,10 +140,11 @@
     """All connections to other nodes."""
 
     def __init__(self, ip: str, port: int, on_frame: Callable[[Link, frames.Frame], None],
-                 on_lost: Callable[[Link], None], link_mbps: float) -> None:
+                 on_lost: Callable[[Link], None], link_mbps: float, shared: bool = True) -> None:
+        """`shared`: the link also carries clients' requests."""
         self.loop = asyncio.get_running_loop()
         self.ip = ip
-        self.bodies = Bodies(self, link_mbps)
+        self.bodies = Bodies(self, link_mbps, shared)
         self.local = LocalLink(self, ip)
         self.port = port
         self.on_frame = on_frame
@@ -145,6 +153,8 @@
         self.out: dict[tuple[str, int], Link] = {}
         self.heard: dict[str, float] = {}
         """When a node was last heard, on any connection, by its address."""
+        self.waits: dict[str, float] = {}
+        """How long the next connect to a node is waited for."""
         self.tasks: set[asyncio.Task[None]] = set()
         self.server: asyncio.Server | None = None
 
@@ -171,11 +181,26 @@
             link = None
         if link is None:
             link = self.out[ip, lane] = Link(self, ip, lane)
-            task = self.loop.create_task(self.connect(link))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            self.begin(link)
         return link
 
+    def begin(self, link: Link) -> None:
+        link.begun_s = self.loop.time()
+        link.connecting = self.loop.create_task(self.connect(link))
+        self.tasks.add(link.connecting)
+        link.connecting.add_done_callback(self.tasks.discard)
+
+    def on_up(self, ip: str) -> None:
+        """A connection with a node has come up. Others to it that hang were begun while it had no power: their packets
+        are sent again only after a second and more."""
+        self.waits[ip] = CONNECT_TIMEOUT_S[0]
+        for lane in (SMALL, BULK):
+            link = self.out.get((ip, lane))
+            if (link is not None and link.transport is None and link.connecting is not None
+                    and self.loop.time() - link.begun_s > CONNECT_QUIET_S):
+                link.connecting.cancel()
+                self.begin(link)
+
     def bulk(self, ip: str) -> Link:
         """The connection out for slices of bodies."""
         return self.to(ip, BULK)
@@ -184,11 +209,13 @@
         self.to(ip).send(frame)
 
     async def connect(self, link: Link) -> None:
+        wait_s = self.waits.get(link.ip, CONNECT_TIMEOUT_S[0])
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(wait_s):
                 # From the node's own address: the other side knows nodes by it, also on machines with several.
                 await self.loop.create_connection(lambda: link, link.ip, self.port, local_addr=(self.ip, 0))
         except (OSError, TimeoutError):
+            self.waits[link.ip] = min(2 * wait_s, CONNECT_TIMEOUT_S[1])
             link.lost()
 
     def forget(self, link: Link) -> None:
--- a/cypressbeam/relay.py
+++ b/cypressbeam/relay.py
@@ -165,8 +165,20 @@
         self.leaving = True
         if self.root:
             self.peers.send(self.root, frames.Leave(self.settings.node))
-        for child in [*self.children]:
-            child.close()
+        self.release()
+
+    def release(self) -> None:
+        """Children look for others. Connections stay: what else goes over them must not be lost."""
+        children, self.children = self.children, {}
+        for child in children:
+            child.send(frames.Released())
+
+    def on_released(self, link: Link) -> None:
+        if link is self.parent:
+            self.parent = None
+            if self.root == link.ip:
+                self.root = ""
+            self.join_due_s = 0.0
 
     # -- at the root ---------------------------------------------------------------------------------------
 
@@ -185,8 +197,7 @@
         self.is_root = False
         self.root = ""
         self.join_due_s = 0.0
-        for child in [*self.children]:
-            child.close()
+        self.release()
 
     def beat(self, life: int) -> None:
         if self.is_root and self.listing.life == life:
--- a/lab/membership.py
+++ b/lab/membership.py
@@ -116,10 +116,13 @@
 
     def order(self) -> None:
         """A new configuration, at the head."""
+        self.order_at(next(node.members() for node in self.nodes.values() if node.core is not None)[0])
+
+    def order_at(self, ip: str) -> None:
+        """The same, at a machine of the core."""
         self.revision += 1
         body = self.configuration(self.revision)
-        members = next(node.members() for node in self.nodes.values() if node.core is not None)
-        head = next(node for node in self.nodes.values() if node.settings.ip == members[0])
+        head = next(node for node in self.nodes.values() if node.settings.ip == ip)
         assert head.core is not None
         self.at(head, head.core.on_core, frames.Order(self.revision, head.settings.ip, self.revision - 1, body))
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -35,6 +35,7 @@
 
 def test_a_relay_that_never_gives_up_a_silent_parent_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
     """The measurement itself: with the tree's mending left out it must not look well."""
+    monkeypatch.setattr("lab.membership.SOME", 0.3)  # relays among them, not leaves alone
     monkeypatch.setattr("cypressbeam.relay.SILENCE_S", math.inf)
     monkeypatch.setattr(Relay, "link_lost", lambda self, link: self.children.pop(link, None))
     cluster, figures = Cluster(40, 1), {step: Figures() for step in STEPS}
@@ -147,6 +148,62 @@
         cluster.close()
 
 
+def test_the_tree_stands_while_the_core_changes_its_view_and_keeps_its_tail() -> None:
+    """Every view was a new life of the root once: all nodes lost their parents, and asked for the whole list."""
+    cluster = Cluster(12, 3)
+
+    async def scenario() -> None:
+        for machine in cluster.machines:
+            cluster.start(*machine)
+        await cluster.until(lambda: cluster.root is not None and len(cluster.depths()) == 12)
+        cluster.poll(5)
+        cluster.order()
+        await cluster.known_by_all()
+        root = cluster.root
+        assert root is not None and root.core is not None and root.core.view is not None
+        life, epoch = root.relay.listing.life, root.core.view.epoch
+        head = next(machine for machine in cluster.machines if machine[1].ip == root.core.view.head)
+        before = {node.settings.node: node.relay.parent for node in cluster.edges}
+        cluster.stop(*head)
+        await cluster.until(lambda: root.core is not None and root.core.view is not None
+                            and root.core.view.epoch > epoch)
+        await asyncio.sleep(1.5)
+        assert cluster.root is root and root.relay.listing.life == life
+        kept = [node for node in cluster.edges if before[node.settings.node] is node.relay.parent]
+        fed_by_the_head = [parent for parent in before.values() if parent is not None and parent.ip == head[1].ip]
+        assert len(kept) == 12 - len(fed_by_the_head) > 6
+        cluster.order_at(root.members()[0])
+        assert await cluster.known_by_all() < CONVERGE_S
+    try:
+        cluster.run(scenario())
+        assert not cluster.net.faults
+    finally:
+        cluster.close()
+
+
+def test_children_that_are_let_go_keep_the_connection_and_look_for_another_parent() -> None:
+    cluster = Cluster(4, 2)
+
+    async def scenario() -> None:
+        for machine in cluster.machines:
+            cluster.start(*machine)
+        await cluster.until(lambda: cluster.root is not None and len(cluster.depths()) == 4)
+        root = cluster.root
+        assert root is not None
+        child = next(node for node in cluster.nodes.values() if node.relay.parent is not None
+                     and node.relay.parent.ip == root.settings.ip)
+        link = child.relay.parent
+        cluster.at(root, root.relay.release)
+        await asyncio.sleep(0.02)
+        assert child.relay.parent is None and link is not None and not link.closed
+        assert await cluster.until(lambda: len(cluster.depths()) == 4) < 1.0
+    try:
+        cluster.run(scenario())
+        assert not cluster.net.faults
+    finally:
+        cluster.close()
+
+
 def test_frames_of_the_survey_go_there_and_back() -> None:
     state = frames.State(1, "10.0.0.1/ab", 300, ("a", "b"), ("a", "b", "c"), 301, 4, 40, 3, frames.ROOT)
     packed = state.pack()
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -15,7 +15,7 @@
 
 from cypressbeam import bodies, delta, frames
 from cypressbeam.configuration import digest
-from cypressbeam.peers import BULK, Link, Peers
+from cypressbeam.peers import BULK, CONNECT_TIMEOUT_S, Link, Peers
 from lab.simulation import Host, Net
 from lab.up import demo_configuration
 
@@ -222,3 +222,27 @@
     assert set(got) <= {b"body"} and line.peers[1].bodies.held[digest(b"base")] == b"base"
     kinds = Counter(len(mark) for mark in line.peers[1].bodies.held)
     assert kinds.keys() == {frames.DIGEST} and BULK != 0
+
+
+def test_a_connect_that_hangs_is_begun_anew_once_the_machine_is_heard() -> None:
+    """After a loss of all power the first to be back write to machines that are not; those come, and connect."""
+    line = Line(2)
+    line.net.stop(line.hosts[1])
+    line.at(0, line.peers[0].send, line.hosts[1].ip, frames.Suspect("early"))
+    line.run(0.2)
+    line.net.start(line.hosts[1])
+    line.net.loop.run_until_complete(line.net.loop.create_task(line.node(1, MBPS), context=line.hosts[1].context))
+    back_s = line.net.loop.time()
+    line.at(1, line.peers[2].send, line.hosts[0].ip, frames.Suspect("back"))
+    line.run(0.1)
+    told = {frame.name: at_s for _, frame, at_s in line.got if isinstance(frame, frames.Suspect)}
+    assert told["back"] < back_s + 0.02 and told["early"] < back_s + 0.02
+
+
+def test_a_machine_that_does_not_answer_is_given_more_time_with_each_connect() -> None:
+    line = Line(2)
+    line.net.stop(line.hosts[1])
+    for _ in range(6):
+        line.at(0, line.peers[0].send, line.hosts[1].ip, frames.Suspect("x"))
+        line.run(2.0)
+    assert line.peers[0].waits[line.hosts[1].ip] == CONNECT_TIMEOUT_S[1]
