Ask nodes that can't keep up with their own work to feed nobody

A node whose event loop was over 0.3 s late lately says so when it joins (the lateness fades in some seconds); it stands last in its zone's order, as one that somebody has lost does. Tests: the order, fast links before thin ones, and the flag coming and going.

--- a/cypressbeam/frames.py
+++ b/cypressbeam/frames.py
@@ -105,8 +105,8 @@
     return (part.decode() if form == "s" else part), at + length
 
 
-#: Flags of a node.
-FRONT, QUORUM, BOOTSTRAP = 1, 2, 4
+#: Flags of a node. A slow one can't keep up with its own work.
+FRONT, QUORUM, BOOTSTRAP, SLOW = 1, 2, 4, 8
 
 
 @dataclass(frozen=True, slots=True)
--- a/cypressbeam/relay.py
+++ b/cypressbeam/relay.py
@@ -23,6 +23,8 @@
 #: A relay that misses the beat itself tells its children that it lives. They stay with it for so long after the last
 #: beat: a root that is back at once finds the tree as it was. Nodes that hold each other in a circle part then.
 HOLD_S = 1.6
+#: A node whose event loop was so late lately asks to be no relay; how the lateness fades, each tick.
+SLOW_S, LAG_FADES = 0.3, 0.97
 #: How long an answer to a join is waited for before another node is asked.
 JOIN_S = 0.4
 JOIN_JITTER_S = 0.1
@@ -60,6 +62,9 @@
         self.beat_s = 0.0
         """When a beat of the root's came last, or a new parent was taken."""
         self.alive_due_s = 0.0
+        self.tick_due_s = 0.0
+        self.lag_s = 0.0
+        """How late the event loop was lately; it fades."""
         self.beats: dict[int, int] = {}
         """The last beat's number, by the root's life."""
         self.asked_s = 0.0
@@ -79,6 +84,8 @@
     def tick(self) -> None:
         self.loop.call_later(TICK_S, self.tick)
         now_s = self.loop.time()
+        self.lag_s = max(now_s - self.tick_due_s if self.tick_due_s else 0.0, self.lag_s * LAG_FADES)
+        self.tick_due_s = now_s + TICK_S
         if self.is_root:
             return
         if self.parent is not None and now_s - self.heard_s > SILENCE_S:
@@ -116,7 +123,8 @@
 
     def ask(self, target: str) -> None:
         settings = self.settings
-        self.peers.send(target, frames.Join(settings.node, settings.ip, settings.zone, self.flags,
+        flags = self.flags | (frames.SLOW if self.lag_s > SLOW_S else 0)
+        self.peers.send(target, frames.Join(settings.node, settings.ip, settings.zone, flags,
                                             int(self.place is not None), self.lost, self.identity,
                                             max(int(settings.link_mbps * 1000), 1)))
 
--- a/cypressbeam/roster.py
+++ b/cypressbeam/roster.py
@@ -110,14 +110,14 @@
 
     def order(self, zone: str) -> list[Known]:
         """The nodes of a zone as they stand in its tree: the root first, fast links before thin ones, then by weight;
-        doubtful ones last."""
+        doubtful ones, and those that can't keep up, last."""
         if self.stale:
             self.orders, self.feeders = {}, {}
             self.stale = False
         if zone not in self.orders:
             here = [known for known in self.nodes.values() if known.zone == zone]
-            self.orders[zone] = sorted(here, key=lambda k: (k.name != self.me, k.shunned, -k.kbps,
-                                                            weight("tree", k.name)))
+            self.orders[zone] = sorted(here, key=lambda k: (
+                k.name != self.me, k.shunned or bool(k.flags & frames.SLOW), -k.kbps, weight("tree", k.name)))
             self.feeders[zone] = feeders(self.orders[zone])
         return self.orders[zone]
 
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -6,6 +6,7 @@
 import random
 import socket
 import zlib
+from collections import Counter
 from dataclasses import replace
 from pathlib import Path
 from types import SimpleNamespace
@@ -21,7 +22,7 @@
 from cypressbeam.gate import CROSSING_BYTES, MOST_CROSSING, Sizes, balancer_settings, request_class
 from cypressbeam.peers import Link, Peers
 from cypressbeam.relay import Relay
-from cypressbeam.roster import FAN_OUT, Roster
+from cypressbeam.roster import FAN_OUT, MOST_FAN_OUT, Roster
 from cypressbeam.routing import Table
 from cypressbeam.settings import SettingsError, load, parse
 from lab.up import demo_configuration
@@ -255,6 +256,40 @@
     assert roster.expire(11.5) == [join.name for join in joins if join.name not in (first.name,)]
 
 
+def test_fast_links_feed_more_than_thin_ones_and_slow_nodes_none() -> None:
+    roster = Roster("root")
+    core = frames.Join("core", "10.0.1.1", "z", frames.QUORUM, 1, "", kbps=30_000)
+    edges = [frames.Join(f"n{i}", f"10.0.0.{i}", "z", frames.FRONT, 1, "", kbps=2_750) for i in range(30)]
+    for join in [core, *edges]:
+        roster.join(join, 0.0)
+
+    def fed() -> Counter[str]:
+        return Counter(roster.place(join.name, 1, (), "root", 30).parents[0] for join in [core, *edges])
+    by_ip = fed()
+    assert by_ip["root"] == 1 and by_ip[core.ip] == MOST_FAN_OUT  # and not 10.9 x 4
+    assert max(count for ip, count in by_ip.items() if ip not in ("root", core.ip)) <= FAN_OUT
+    relay = next(join for join in edges if by_ip[join.ip])
+    roster.join(replace(relay, flags=frames.FRONT | frames.SLOW), 1.0)
+    assert fed()[relay.ip] == 0
+    roster.join(replace(core, flags=frames.QUORUM | frames.SLOW), 1.0)
+    assert fed()[core.ip] == 0 and sum(fed().values()) == 31
+
+
+def test_a_node_whose_loop_is_late_says_that_it_is_slow_until_that_fades(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        peers = Peers("127.0.0.1", 1, lambda link, frame: None, lambda link: None, 1000.0)
+        relay = Relay(parse(BOOT, "boot.conf"), peers, frames.FRONT)
+        now_s, told = 100.0, list[frames.Frame]()
+        monkeypatch.setattr(relay, "loop", SimpleNamespace(time=lambda: now_s, call_later=lambda *_: None))
+        monkeypatch.setattr(peers, "send", lambda ip, frame: told.append(frame))
+        for late_s in (0.0, 0.5, *[0.0] * 60):
+            relay.tick()
+            now_s += 0.1 + late_s
+        slow = [bool(frame.flags & frames.SLOW) for frame in told if isinstance(frame, frames.Join)]
+        assert not slow[0] and any(slow) and not slow[-1]
+    run(scenario())
+
+
 def test_only_proof_counts_as_not_run() -> None:
     proof = [(b"Not-Executed", b"1")]
     assert judge_gate(Answer(201)) is pr.Ending.OK
