Wait, when told to stop, for requests that are still coming in

A node that stops closed its listening socket after 2.4 s and then waited for the requests that it had taken; one whose body was still coming in over the thin link was none yet.

Change: it also waits for requests that come in, and for answers that are not written out, within the grace period; what has not come whole by then gets 503 with Retry-After, for it was passed to nobody. The test fails without the change.

--- a/cypressbeam/node.py
+++ b/cypressbeam/node.py
@@ -144,10 +144,14 @@
             await asyncio.sleep(ACCEPT_ON_S)
             for frontend in self.frontends:
                 frontend.stop_accepting()
-            while self.gate.requests and self.loop.time() < ends_s:
+            # Also requests that are still coming in: on a thin link a body takes a second.
+            while ((self.gate.requests or any(frontend.owes() for frontend in self.frontends))
+                   and self.loop.time() < ends_s):
                 await asyncio.sleep(0.02)
             for request in [*self.gate.requests.values()]:
                 self.gate.time_is_up(request)
+            for frontend in self.frontends:
+                frontend.refuse_partial()
             await asyncio.sleep(0.05)
             self.gate.upstream.close()
         if self.core is not None:
--- a/mallowworks/frontend.py
+++ b/mallowworks/frontend.py
@@ -20,6 +20,8 @@
 SLOW_S = 2.0
 #: How long a connection that is closed on a client is read on, so that the answer is not lost to a reset.
 LINGER_S = 1.0
+#: Whoever is turned away by a node that stops may come back, to another one, after so many seconds.
+STOPS_S = b"0.5"
 #: At the bound one makes room that has waited for so long, in this order. So many of each are looked at, for
 #: each look costs a system call.
 MAKE_ROOM = (("silent", 0.1), ("partial", 0.5), ("idle", 1.0), ("silent", 0.01), ("partial", 0.05),
@@ -95,6 +97,16 @@
         for connection in [*self.silent, *self.idle]:
             connection.part()
 
+    def owes(self) -> bool:
+        """Whether a client is within a request, waits for its answer, or has not been sent all of it."""
+        return bool(self.partial) or any(connection.current is not None or connection.transport.get_write_buffer_size()
+                                         for connection in self.connections)
+
+    def refuse_partial(self) -> None:
+        """Nothing more can be waited for. What has not come whole was passed to nobody: its client may come again."""
+        for connection in [*self.partial]:
+            connection.reject(BadRequest(503, "the node stops", retry_after=STOPS_S))
+
     def admit(self, connection: ClientConnection) -> bool:
         """Whether a new connection is within the bound; one without an open request makes room."""
         self.connections.add(connection)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import signal
 import sys
@@ -324,6 +325,30 @@
     run(scenario())
 
 
+def test_a_node_that_is_told_to_stop_waits_for_requests_that_are_still_coming_in() -> None:
+    """Over a thin link a body takes seconds; the node ended while one came, and its client got no answer (LOST)."""
+    async def scenario() -> None:
+        async with rig(edges=1) as made:
+            (edge,) = made.edges
+            head = (f"POST /book/1 HTTP/1.1\r\nHost: {HOST}\r\nTime-Left-Ms: 9000\r\nContent-Length: 10\r\n").encode()
+            whole, never = [await asyncio.open_connection(*edge.front) for _ in range(2)]
+            for ident, (_, writer) in ((b"whole", whole), (b"never", never)):
+                writer.write(head + b"Attempt-Id: %s\r\n\r\nfirst" % ident)
+            ended = asyncio.create_task(made.system.kill(edge, signal.SIGTERM))
+            async with asyncio.timeout(20.0):
+                with contextlib.suppress(ConnectionRefusedError):
+                    while True:  # until no new connections are taken: what was open by then is all there is
+                        (await asyncio.open_connection(*edge.front))[1].close()
+                        await asyncio.sleep(0.01)
+            whole[1].write(b"after")
+            assert b" 200 " in await soon(whole[0].readline())
+            assert b" 503 " in await soon(never[0].readline())
+            assert b"Retry-After" in await soon(never[0].read())
+            assert await soon(ended) == 0
+            assert [ident for ident, *_ in made.servers("booker")[0].ran] == [b"whole"]
+    run(scenario())
+
+
 def test_a_node_that_is_not_configured_says_so() -> None:
     async def scenario() -> None:
         async with rig(edges=1, configured=False) as made:
