Let time-outs begin after 20 answers of a kind where many proxies share the servers

Change: from 20 answers on the tail is reckoned from the mean and spread of the logarithms, as if they were normal, drawn towards a usual spread and widened by chance the fewer they are; from 300 on it is the percentile as before. Only where many proxies share a server (MANY_SHARE); few see enough.

Ruled out: an earlier percentile (of 100 answers it is the largest one seen); sharing sketches (more bytes, a node's word on others).

--- a/pepperrelay/balancer.py
+++ b/pepperrelay/balancer.py
@@ -15,10 +15,15 @@
 from pepperrelay.interface import Ending, Repeat
 
 # Time-outs: the share of answers that may be cut off falsely, the padding over the median, and how many
-# answers must have been seen before a percentile means anything.
+# answers must have been seen before a percentile means anything. With fewer, from the least number on, the tail
+# is reckoned from the mean and the spread of what was seen, as if their logarithms were normal: so many
+# deviations out, wider by chance the fewer they are, the spread drawn towards a usual one that counts as so many.
 FALSE_TIMEOUTS = 0.001
 PADDING = 2.0
 MIN_SAMPLES = 300
+LEAST_SAMPLES = 20
+TAIL_DEVIATIONS = 3.09
+USUAL_SPREAD, USUAL_COUNTS = 0.8, 20.0
 # Retries of one request, at most; its settings and class may allow fewer.
 RETRIES_EACH = 2
 # Back-off: full jitter up to the base, doubling with each retry, at most the cap (microseconds).
@@ -120,14 +125,18 @@
     def __init__(self) -> None:
         self.counts = [0.0] * 256
         self.total = 0.0
+        self.logs = self.squares = 0.0  # sums over the logarithms, and over their squares
 
     def add(self, value_us: float) -> None:
+        log = math.log(max(value_us, 1.0))
+        self.logs += log
+        self.squares += log * log
         bucket = int(math.log(value_us) / self.STEP) if value_us > 1 else 0
         self.counts[min(bucket, 255)] += 1.0
         self.total += 1.0
         if self.total >= self.HALVE_AT:
             self.counts = [c / 2 for c in self.counts]
-            self.total /= 2
+            self.total, self.logs, self.squares = self.total / 2, self.logs / 2, self.squares / 2
 
     def above(self, share: float) -> float:
         """The latency that a share of the answers exceeds (the upper edge of its bucket)."""
@@ -139,6 +148,23 @@
         return 0.0
 
 
+    def tail(self, few: bool) -> float:
+        """The latency that a false time-out's share of the answers exceeds; 0 while too few were seen to say. Where
+        few may have to do, the tail is reckoned.
+
+        Trouble: 77 proxies see an answer of a kind in a second each, so 300 never came in a day, and a request to
+        a server that had fallen mute was held until its client gave up, 20 s.
+        """
+        if self.total >= MIN_SAMPLES:
+            return self.above(FALSE_TIMEOUTS)
+        if not few or self.total < LEAST_SAMPLES:
+            return 0.0
+        usual = self.logs / self.total
+        spread = max(self.squares - self.total * usual * usual, 0.0) + USUAL_COUNTS * USUAL_SPREAD ** 2
+        deviation = math.sqrt(spread / (self.total + USUAL_COUNTS))
+        return math.exp(usual + deviation * (TAIL_DEVIATIONS + TAIL_DEVIATIONS / math.sqrt(self.total)))
+
+
 class TokenBucket:
     """The retry budget, or a tenant's share: free while it holds tokens, then at the rate that refills it."""
 
@@ -897,8 +923,8 @@
         self.fleet_service_us = mean(services) or self.fleet_latency_us
         self.fleet_pace_us = mean([s.pace_us for s in self.pool if s.pace_us is not None]) or 0.0
         for name, seen in self.percentiles.items():
-            if seen.total >= MIN_SAMPLES:
-                self.patience_us[name] = max(seen.above(FALSE_TIMEOUTS), PADDING * seen.above(0.5))
+            if tail_us := seen.tail(few=self.sharers >= MANY_SHARE):
+                self.patience_us[name] = max(tail_us, PADDING * seen.above(0.5))
         for server in self.pool:
             self.refresh(server)
         self.weigh()
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import random
 
 import pytest
 
@@ -63,6 +64,35 @@
     assert [a.timeout_us for _, a in d.done if isinstance(a, pr.Send) and a.request == name] == [0]
 
 
+def test_with_few_answers_the_tail_is_reckoned_wide_and_narrows_as_more_come() -> None:
+    chance = random.Random(3)
+    truth_us = 200_000 * math.exp(0.6 * balancer.TAIL_DEVIATIONS)
+    waits: list[float] = []
+    for count in (balancer.LEAST_SAMPLES, 80, balancer.MIN_SAMPLES - 1):
+        tails = []
+        for _ in range(40):
+            seen = balancer.Percentile()
+            for _ in range(count):
+                seen.add(chance.lognormvariate(math.log(200_000), 0.6))
+            tails.append(seen.tail(few=True))
+            assert seen.tail(few=False) == 0.0
+        assert sum(tail > 0.9 * truth_us for tail in tails) >= 38  # hardly ever cuts off what is only slow
+        waits.append(sum(tails) / len(tails))
+    assert 6 * truth_us > waits[0] > waits[1] > waits[2] > truth_us
+
+
+def test_of_many_proxies_each_leaves_a_mute_server_in_time_after_few_answers() -> None:
+    """Seen on pss-prairie-gate-grown: a lookup at a server that had fallen mute was held until its client gave up."""
+    d = Driver(settings(proxies=60))
+    d.members(*(entry(f"s{i}") for i in range(60)))
+    settle(d, balancer.LEAST_SAMPLES + 10, 10 * MS)
+    d.pass_time(2 * balancer.HOUSEKEEPING_US)
+    name = d.arrive()
+    (sent,) = d.sends(name)
+    d.pass_time(500 * MS)
+    assert len(d.sends(name)) > 1 and sent not in d.sends(name)[1:]  # none of them answers here
+
+
 def test_timeouts_buy_nothing_for_unsafe_or_repeated_requests() -> None:
     d = driver("s0", "s1")
     settle(d, balancer.MIN_SAMPLES + 60, 10 * MS)
