Send what the throttle would refuse to another zone while answers are in time there

After one of two topup servers of dessie-hall is emptied (22.7 s) its four proxies get late answers and refuse 22 to 77% at the door, 40 requests for good; the other zones' servers are half idle. A crossing weighs 19 requests in hand and more for a body, and is eased only by the difference of late answers, too slowly for a jam.

Change: a request that the throttle would refuse goes to the best of four servers of other zones, while at most a tenth of the answers from there is late and the server is not crowded; otherwise it is refused as before. What it meets there does not open the throttle here. Only where many proxies share the servers, as the throttle itself.

Ruled out: capacity (half of the slots of the service were free), retries (none may be made), a lower price of crossings for all (dear on pss).

--- a/pepperrelay/balancer.py
+++ b/pepperrelay/balancer.py
@@ -90,6 +90,10 @@
 CROSSING_GAIN = 0.5
 CROSSING_NEWEST = 0.05
 CROSSING_STEP = 0.1
+# What would be refused at the door goes to another zone while at most this share of answers from there is late, to the
+# best of so many servers.
+LATE_AWAY = 0.1
+LOOKS_AWAY = 4
 CROSSING_FADES = 0.005  # what an answer from the one side takes from the other's share
 # Working set: how many proxies may keep a connection to one server (of more, each would hear of it too seldom
 # to know it), the fewest servers that a proxy uses near by, and the share of that number that it uses away.
@@ -574,9 +578,24 @@
         work_us = self.hints.get(kind.name) or self.percentiles[kind.name].above(QUICK_SHARE) or 1.0
         self.demand.count(kind.name, work_us, self.now_us)
         if self.sharers >= MANY_SHARE and self.shed(event.tenant or "", kind.name):
-            return self.end(request)
+            request.judged = True  # what it meets elsewhere says nothing of the jam here
+            server = self.elsewhere(request)
+            return self.end(request) if server is None else self.send(request, server)
         self.try_send(request)
 
+    def elsewhere(self, request: Request) -> Server | None:
+        """A server of another zone for a request that would be refused at the door, while answers come in time there.
+
+        Trouble: of two servers of a zone one was emptied; its proxies refused up to three quarters of what came, to
+        spare crossings, while the other zones had half of their servers idle.
+        """
+        if self.crossing.late[False] > LATE_AWAY:
+            return None
+        away = [s for s in self.pool if s.entry.zone != self.settings.zone and self.warmth(s) >= 1.0
+                and not self.left_out(request, s)]
+        server = self.best(request, self.chance.sample(away, min(LOOKS_AWAY, len(away)))) if away else None
+        return server if server is not None and self.delay_us(server) <= self.crowd_us else None
+
     def shed(self, tenant: str, kind: str) -> bool:
         """Whether to refuse at the door: over its tenant's share while strained, else by the throttle."""
         share = self.shares.get(tenant)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -345,3 +345,45 @@
     name = d.arrive()
     d.end(name, pr.Ending.ERROR)
     assert d.answers(name) == [pr.Refuse]
+
+
+def jammed(late_away: bool) -> Driver:
+    """A proxy whose zone answers late, while the other zone has servers too."""
+    d = Driver(settings(proxies=200))
+    d.members(*(entry(f"{zone}{i}", zone) for zone in "ab" for i in range(10)), scope=pr.ListScope.SAVED)
+    zones = {server.entry.server: server.entry.zone for server in d.balancer.pool}
+    for _ in range(120):
+        name = d.arrive(UNSAFE)
+        sent = d.sends(name)
+        near = bool(sent) and zones[sent[0]] == "a"
+        d.pass_time(600 * MS if near or late_away else 20 * MS)
+        if name in d.owed:
+            d.end(name, pr.Ending.OK)
+    d.balancer.throttle.passing = 0.1
+    return d
+
+
+def test_what_the_throttle_would_refuse_goes_to_another_zone_that_answers_in_time() -> None:
+    """Seen on abay-portal: one of a zone's two servers was emptied, and its proxies refused most of what came."""
+    d = jammed(late_away=False)
+    sent = []
+    for _ in range(40):
+        name = d.arrive(UNSAFE)
+        sent += d.sends(name)
+        d.pass_time(20 * MS)
+        if name in d.owed:
+            d.end(name, pr.Ending.OK)
+    assert len(sent) == 40 and sum(server.startswith("b") for server in sent) > 25
+    assert d.balancer.throttle.shed() > 0.5  # what other zones answer in time does not open it here
+
+
+def test_what_would_be_late_there_too_is_refused() -> None:
+    d = jammed(late_away=True)
+    refused = 0
+    for _ in range(40):
+        name = d.arrive(UNSAFE)
+        refused += not d.sends(name)
+        d.pass_time(600 * MS)
+        if name in d.owed:
+            d.end(name, pr.Ending.OK)
+    assert refused > 20
