Answer a member that waits at once, and let clients wait up to 0.8 s for a node that starts

Change: a pulse says whether its sender waits for the others; who hears that answers at once (every 0.1 s at most). A node that starts takes no connections for up to 0.8 s, until it can serve: below the second after which clients give up a try that is not read. No answer is held back: nothing has been read then.

--- a/cypressbeam/agreement.py
+++ b/cypressbeam/agreement.py
@@ -29,6 +29,8 @@
 #: Members tell each other that they live this often, and are taken for lost after such a silence.
 PULSE_S = 0.3
 DEAD_S = 1.0
+#: A member that waits for the others' pulses gets one at once, at most this often.
+ANSWER_S = 0.1
 #: What is wrong with the view must stay wrong for so long before somebody mends it; those further down the group wait
 #: longer, so that as a rule one proposes.
 WRONG_S = 0.25
@@ -165,6 +167,8 @@
         self.accepting: View | None = None
         self.wrong_since_s: float | None = None
         self.pulse_due_s = 0.0
+        self.answered_s: dict[str, float] = {}
+        """When a member that waits was last answered at once, by address."""
         self.root = False
         self.root_s = 0.0
         """When this machine was last the root by right."""
@@ -298,20 +302,27 @@
 
     def own_pulse(self, now_s: float) -> frames.Pulse:
         epoch = self.member.view.epoch if self.member is not None else 0
-        return frames.Pulse(self.name, epoch, self.promised, int(self.disk_works(now_s)), int(self.may_promise()))
+        active = self.member is None or self.member.active
+        return frames.Pulse(self.name, epoch, self.promised, int(self.disk_works(now_s)), int(self.may_promise()),
+                            int(active))
 
     def on_pulse(self, frame: frames.Pulse, now_s: float) -> list[Action]:
         ip = ip_of(frame.name)
         self.heard[ip] = Heard(frame.name, frame.epoch, frame.promised, bool(frame.disk), bool(frame.taken_in),
                                now_s)
         self.seen_epoch = max(self.seen_epoch, frame.promised, frame.epoch)
+        actions: list[Action] = []
         if self.view is not None and frame.epoch < self.view.epoch:
             view = self.view
             if frame.name not in view.chain:
-                return [Tell(ip, frames.ViewIs(view.epoch, view.chain, view.group))]
+                actions.append(Tell(ip, frames.ViewIs(view.epoch, view.chain, view.group)))
         elif self.member is not None and not self.member.active:
-            return self.tick(now_s)
-        return []
+            actions += self.tick(now_s)
+        # One that has just started waits for all others: what they told it before it listened is lost.
+        if not frame.active and self.member is not None and now_s - self.answered_s.get(ip, -1.0) > ANSWER_S:
+            self.answered_s[ip] = now_s
+            actions.append(Tell(ip, self.own_pulse(now_s)))
+        return actions
 
     def on_view(self, frame: frames.ViewIs, now_s: float) -> list[Action]:
         """A newer view than this machine holds: it has no place in it, or its write is still under way."""
--- a/cypressbeam/frames.py
+++ b/cypressbeam/frames.py
@@ -320,12 +320,14 @@
     """A member lives: the view it holds, the epoch it has promised, whether its disk works and counts it in a group."""
 
     KIND = 18
-    FORM = "sqqcc"
+    FORM = "sqqccc"
     name: str
     epoch: int
     promised: int
     disk: int
     taken_in: int = 1
+    active: int = 1
+    """0: the sender waits to hear that all of the chain hold its view."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/cypressbeam/node.py
+++ b/cypressbeam/node.py
@@ -33,7 +33,7 @@
 #: After SIGTERM new connections still come until two readiness calls, a second apart, were missed.
 ACCEPT_ON_S = 2.4
 #: A node that has started takes up the news within a few milliseconds, as a rule. Clients wait for it, at most so long.
-ACCEPT_LATEST_S, ACCEPT_TICK_S = 0.4, 0.005
+ACCEPT_LATEST_S, ACCEPT_TICK_S = 0.8, 0.005
 #: All that is in hand is answered so long before the end of the grace period.
 STOP_MARGIN_S = 0.8
 FOUNDING_TICK_S = 0.1
