--- a/cypressbeam/cli.py
+++ b/cypressbeam/cli.py
@@ -225,6 +225,26 @@
     click.echo(table(measure(edges, seed, edge_mbps, core_mbps, routes)))
 
 
+@lab.command()
+@click.option("--sizes", default="20,80,300", show_default=True, help="Numbers of edge nodes.")
+@click.option("--cores", default=3, show_default=True, help="Machines of the core.")
+@click.option("--routes", default=200, show_default=True, help="Routes of the configuration.")
+@click.option("--servers", default=100, show_default=True, help="Servers on the platform's list.")
+@click.option("--seed", default=1, show_default=True, help="What comes by chance.")
+@click.option("--json", "as_json", is_flag=True, help="For programs.")
+def scale(sizes: str, cores: int, routes: int, servers: int, seed: int, as_json: bool) -> None:
+    """What grows with the fleet: costs at several sizes, and the exponent of each.
+
+    Exit code 3 if a cost grows faster than the fleet.
+    """
+    from lab.scale import MOST_EXPONENT, document, exponents, measure, table
+
+    logging.disable(logging.WARNING)
+    found = [measure(int(size), cores, routes, servers, seed) for size in sizes.split(",")]
+    click.echo(msgspec.json.encode(document(found)).decode() if as_json else table(found))
+    sys.exit(3 if any(slope is not None and slope > MOST_EXPONENT for slope in exponents(found).values()) else 0)
+
+
 #: Histories that one process plays before it tells of them.
 BATCH = 20
 
--- a/lab/membership.py
+++ b/lab/membership.py
@@ -42,31 +42,31 @@
     """Core and edge nodes on a simulated network, from one seed."""
 
     def __init__(self, edges: int, seed: int, edge_mbps: float = 1000.0, core_mbps: float = 1000.0,
-                 routes: int = 0) -> None:
-        """With links of so many Mbit/s, and so many routes in the configuration beside a few."""
+                 routes: int = 0, cores: int = CORES) -> None:
+        """With links of so many Mbit/s, so many routes in the configuration beside a few, and so many core machines."""
         self.net = Net(seed)
         self.seed = seed
-        self.edge_mbps, self.core_mbps, self.routes = edge_mbps, core_mbps, routes
+        self.edge_mbps, self.core_mbps, self.routes, self.cores = edge_mbps, core_mbps, routes, cores
         self.machines: list[tuple[Host, Settings]] = []
         self.nodes: dict[str, SimulatedNode] = {}
         self.disks: dict[str, Disk] = {}
         self.revision = 0
         self.late: list[tuple[Host, Settings]] = []
-        for number in range(CORES):
-            self.add(f"core-{number + 1}", f"10.{number}.0.1", ZONES[number], core=True)
+        for number in range(cores):
+            self.add(f"core-{number + 1}", f"10.{number}.0.1", ZONES[number % len(ZONES)], core=True)
         for number in range(edges):
             zone = number % len(ZONES)
             self.add(f"edge-{number + 1}", f"10.{zone}.{1 + number // 800}.{1 + number // 4 % 200}", ZONES[zone],
                      core=False)
 
     def add(self, name: str, ip: str, zone: str, core: bool) -> None:
-        seeds = tuple((f"10.{number}.0.1", CONTROL) for number in range(CORES))
+        seeds = tuple((f"10.{number}.0.1", CONTROL) for number in range(min(self.cores, 3)))
         settings = Settings(
             node=name, ip=ip, zone=zone, seeds=seeds, front=None if core else (ip, 8641), readiness=None, control=None,
             internal_ports=PORTS, bootstrap=True, quorum_member=core, state_dir=Path("/nowhere") if core else None,
             memory_mb=300, file_handles=1024,
-            link_mbps=self.core_mbps if core else self.edge_mbps, machine_losses=1, platform=None, platform_per_s=10.0,
-            envelope=Envelope())
+            link_mbps=self.core_mbps if core else self.edge_mbps, machine_losses=self.cores // 2, platform=None,
+            platform_per_s=10.0, envelope=Envelope())
         host = self.net.add(ip, zone)
         host.mbps = settings.link_mbps
         self.machines.append((host, settings))
