End a fetch whose last source has let the body go; the newest does not wait behind it

Change: such a fetch ends at once, one that has stalled no longer holds up a newer one, and machines without clients hold twelve bodies.

--- a/cypressbeam/bodies.py
+++ b/cypressbeam/bodies.py
@@ -24,8 +24,9 @@
 
 log = logging.getLogger(__name__)
 
-#: Bodies that are held, the newest; and packed forms, of which children ask for one or two.
-KEPT, PACKED_KEPT = 4, 8
+#: Bodies that are held, the newest (more where a machine has no clients: the core sees those of lost races too); and
+#: packed forms, of which children ask for one or two.
+KEPT, KEPT_CORE, PACKED_KEPT = 4, 12, 8
 #: Slices and windows are what the node's own link carries in so long, within bounds: a frame waits behind one slice of
 #: each transfer, and a window covers the way there and back.
 SLICE_S, WINDOW_S = 0.01, 0.06
@@ -87,6 +88,7 @@
         per_s = link_mbps * 1e6 / 8
         self.slice = int(min(max(per_s * SLICE_S, SLICE_BYTES[0]), SLICE_BYTES[1]))
         self.window = int(min(max(per_s * WINDOW_S, WINDOW_BYTES[0]), WINDOW_BYTES[1]))
+        self.kept = KEPT if shared else KEPT_CORE
         self.per_s = per_s * (LINK_SHARE if shared else FREE_SHARE)
         self.held: OrderedDict[bytes, bytes] = OrderedDict()
         self.packed: OrderedDict[tuple[bytes, bytes], bytes] = OrderedDict()
@@ -107,7 +109,7 @@
         mark = digest(body)
         self.held[mark] = body
         self.held.move_to_end(mark)
-        while len(self.held) > KEPT:
+        while len(self.held) > self.kept:
             self.held.popitem(last=False)
         return mark
 
@@ -135,6 +137,11 @@
             self.ticking = True
             self.loop.call_later(TICK_S, self.tick)
 
+    def comes(self, mark: bytes) -> bool:
+        """Whether a body is on its way here, and has moved lately."""
+        fetch = self.fetches.get(mark)
+        return fetch is not None and self.loop.time() - max(fetch.moved_s, fetch.asked_s) <= STALL_S
+
     # -- fetching ------------------------------------------------------------------------------------------
 
     def ask(self, mark: bytes, fetch: Fetch) -> None:
@@ -190,14 +197,17 @@
         self.pump()
 
     def on_lacking(self, link: Link, frame: frames.Lacking) -> None:
-        """A source does not have it; the next one may, in a while."""
+        """A source does not have it; the next one may. Where there is none the fetch is over: a version that was
+        followed by others has gone from those who had it, and must not hold up the newest."""
         fetch = self.fetches.get(frame.mark)
         if fetch is None or fetch.sources[0] != link.ip:
             return
-        fetch.begin_anew()
-        if len(fetch.sources) > 1:
-            fetch.sources.pop(0)
+        fetch.sources.pop(0)
+        if fetch.sources:
+            fetch.begin_anew()
             self.ask(frame.mark, fetch)
+        else:
+            del self.fetches[frame.mark]
 
     def finish(self, mark: bytes, fetch: Fetch) -> None:
         try:
--- a/cypressbeam/relay.py
+++ b/cypressbeam/relay.py
@@ -269,7 +269,7 @@
     def fetch(self, source: str) -> None:
         """Get the newest body, one at a time. Children are told as it begins to come, and take it as it comes."""
         revision, mark = self.newest
-        if self.fetching and self.fetching != mark and self.fetching in self.bodies.fetches:
+        if self.fetching and self.fetching != mark and self.bodies.comes(self.fetching):
             return
         if self.fetching != mark:
             self.fetching = mark
@@ -311,7 +311,7 @@
         if frame.fronts and frame.fronts != self.fronts:
             self.fronts = frame.fronts
             self.on_place()
-        coming = self.newest[0] if self.fetching in self.bodies.fetches else self.revision
+        coming = self.newest[0] if self.bodies.comes(self.fetching) else self.revision
         lacks = (frame.revision > coming
                  or (frame.seq and (frame.life, frame.seq) != (self.listing.life, self.listing.seq)))
         if lacks and now_s - self.asked_s >= ASK_AGAIN_S:
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -16,6 +16,7 @@
 from cypressbeam import bodies, delta, frames
 from cypressbeam.configuration import digest
 from cypressbeam.peers import BULK, CONNECT_TIMEOUT_S, Link, Peers
+from lab.membership import Cluster
 from lab.simulation import Host, Net
 from lab.up import demo_configuration
 
@@ -195,14 +196,50 @@
     assert got and set(got) == {body} and line.peers[2].bodies.held[mark] == body
 
 
-def test_a_body_that_nobody_has_is_given_up() -> None:
+def test_a_body_that_its_source_has_no_more_is_given_up_at_once() -> None:
+    """Seen on abay-portal-grown: a version that others had followed held up the newest at a node for 4 s."""
     line = Line(2)
     got: list[bytes] = []
+    line.need(1, digest(b"gone"), 0, got)
+    line.run(0.1)
+    assert not got and not line.peers[1].bodies.fetches
+
+
+def test_a_body_that_nobody_sends_is_given_up() -> None:
+    line = Line(2)
+    got: list[bytes] = []
+    line.net.stop(line.hosts[0])
     line.need(1, digest(b"never"), 0, got)
     line.run(bodies.GIVE_UP_S + 1.0)
     assert not got and not line.peers[1].bodies.fetches
 
 
+def test_a_version_that_has_gone_does_not_hold_up_the_newest() -> None:
+    cluster = Cluster(3, 1, edge_mbps=2.75, core_mbps=30.0, routes=300)
+
+    async def scenario() -> None:
+        for machine in cluster.machines:
+            cluster.start(*machine)
+        await cluster.until(lambda: cluster.root is not None and len(cluster.depths()) == 3)
+        cluster.order()
+        await cluster.known_by_all()
+        child = next(node for node in cluster.edges if node.relay.parent is not None)
+        assert child.relay.parent is not None
+        # It begins with a version that its parent has let go; then comes the newest.
+        cluster.at(child, child.relay.on_news, child.relay.parent, frames.News(2, digest(b"gone")))
+        cluster.revision = 2
+        root = cluster.root
+        assert root is not None
+        cluster.at(root, root.relay.publish, 3, cluster.configuration(3))
+        cluster.revision = 3
+        assert await cluster.known_by_all() < 1.0
+    try:
+        cluster.run(scenario())
+        assert not cluster.net.faults
+    finally:
+        cluster.close()
+
+
 @settings(derandomize=True, max_examples=60, deadline=None)
 @given(st.lists(st.one_of(
     st.builds(frames.Slice, st.sampled_from([digest(b"body"), b"x"]), st.sampled_from([b"", digest(b"base"), b"y"]),
