Answer clients who wait for a node that is told to stop as it starts

Readiness is told up to 5 ms before the frontend takes its first connection; a SIGTERM in between kept it from listening at all (the guard in GatewayNode.accept), so what waited at the socket was reset when the process ended, requests unread. Change: told to stop, the node stops waiting for its news and takes the connections, to serve or refuse them with Retry-After. Test: an unconfigured node, stopped in its first 0.8 s, answers a request 503; without the change it fails.

--- a/cypressbeam/node.py
+++ b/cypressbeam/node.py
@@ -122,13 +122,12 @@
 
     async def accept(self, frontend: Frontend, address: Address) -> None:
         """Take clients' connections, which wait at the socket until then, once requests can be served; or after a
-        while, to tell them that they can't."""
+        while, or when the node is told to stop, to tell them that they can't: left there, they would be reset."""
         assert self.gate is not None
         until_s = self.loop.time() + ACCEPT_LATEST_S
-        while not self.gate.can_serve() and self.loop.time() < until_s:
+        while not (self.gate.can_serve() or frontend.stopping) and self.loop.time() < until_s:
             await asyncio.sleep(ACCEPT_TICK_S)
-        if not frontend.stopping:
-            await frontend.listen(*address, self.listening)
+        await frontend.listen(*address, self.listening)
 
     async def listen(self, frontend: Frontend, address: Address) -> None:
         await frontend.listen(*address)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -349,6 +349,23 @@
     run(scenario())
 
 
+def test_a_node_that_is_told_to_stop_as_it_starts_answers_those_who_wait_for_it() -> None:
+    """Stopped before it took the first connection, it never took any: they were reset when it ended."""
+    async def scenario() -> None:
+        async with rig(edges=1, configured=False) as made:
+            (edge,) = made.edges
+            await made.system.kill(edge)
+            await made.system.start(edge)
+            async with asyncio.timeout(20.0):
+                while await status_of((edge.ip, 8640), "/-/ready") != 503:
+                    await asyncio.sleep(0)
+            ended = asyncio.create_task(made.system.kill(edge, signal.SIGTERM))
+            got = await ask(edge)
+            assert got.status == 503 and got.header(b"retry-after") == b"0.5"
+            assert await soon(ended) == 0
+    run(scenario())
+
+
 def test_a_node_that_is_not_configured_says_so() -> None:
     async def scenario() -> None:
         async with rig(edges=1, configured=False) as made:
