Begin connects that hang again beside themselves, and those begun just before power came

One had begun its connect 14 ms before the other had power; heard 30 ms later, it was left alone, for only connects older than 50 ms were begun anew, and it hung until its time-outs of 0.4 and 0.8 s. Edge nodes that start first wait in the same way, with nobody to tell them. Ruled out: the disk (2 ms), the pulses (answered at once), the agreed view (unchanged). Change: one begun just now gets its 50 ms and is then begun anew; each connect that hangs is joined by another every 0.2 s, and the first that comes up is taken. The simulated network sends the first packet again after 1, 2, 4 s, as TCP does.

--- a/cypressbeam/peers.py
+++ b/cypressbeam/peers.py
@@ -22,6 +22,9 @@
 CONNECT_TIMEOUT_S = (0.4, 1.6)
 #: One that has not come up after so long is begun anew when its machine is heard: it runs by now.
 CONNECT_QUIET_S = 0.05
+#: A connect that hangs is joined by another one after so long, and again: the first packet of one that was begun before
+#: its machine had power is sent again only after a second, and then after two more.
+KNOCK_S = 0.2
 #: The two connections out to a node.
 SMALL, BULK = 0, 1
 #: Bytes that may wait for a peer that does not read.
@@ -129,6 +132,20 @@
             self.peers.forget(self)
 
 
+class Knock(asyncio.Protocol):
+    """One of the connects of a link: the first that comes up becomes its connection."""
+
+    def __init__(self, link: Link) -> None:
+        self.link = link
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        if self.link.transport is None:
+            transport.set_protocol(self.link)
+            self.link.connection_made(transport)
+        else:
+            cast(asyncio.Transport, transport).abort()
+
+
 class LocalLink(Link):
     """To the node itself: frames come back in the next turn of the loop."""
 
@@ -192,14 +209,22 @@
 
     def on_up(self, ip: str) -> None:
         """A connection with a node has come up. Others to it that hang were begun while it had no power: their packets
-        are sent again only after a second and more."""
+        are sent again only after a second and more. One that was begun just now gets the time it needs first."""
         self.waits[ip] = CONNECT_TIMEOUT_S[0]
         for lane in (SMALL, BULK):
             link = self.out.get((ip, lane))
-            if (link is not None and link.transport is None and link.connecting is not None
-                    and self.loop.time() - link.begun_s > CONNECT_QUIET_S):
-                link.connecting.cancel()
-                self.begin(link)
+            if link is not None and link.transport is None and link.connecting is not None:
+                left_s = link.begun_s + CONNECT_QUIET_S - self.loop.time()
+                if left_s > 0:
+                    self.loop.call_later(left_s, self.begin_anew, link, link.connecting)
+                else:
+                    self.begin_anew(link, link.connecting)
+
+    def begin_anew(self, link: Link, connecting: asyncio.Task[None]) -> None:
+        """Unless that connect has come up, or was given up, by now."""
+        if link.connecting is connecting and link.transport is None and not link.closed:
+            connecting.cancel()
+            self.begin(link)
 
     def bulk(self, ip: str) -> Link:
         """The connection out for slices of bodies."""
@@ -210,13 +235,22 @@
 
     async def connect(self, link: Link) -> None:
         wait_s = self.waits.get(link.ip, CONNECT_TIMEOUT_S[0])
+        knocks: set[asyncio.Task[Any]] = set()
         try:
             async with asyncio.timeout(wait_s):
-                # From the node's own address: the other side knows nodes by it, also on machines with several.
-                await self.loop.create_connection(lambda: link, link.ip, self.port, local_addr=(self.ip, 0))
+                while link.transport is None:
+                    # From the node's own address: the other side knows nodes by it, also on machines with several.
+                    knocks.add(self.loop.create_task(self.loop.create_connection(
+                        lambda: Knock(link), link.ip, self.port, local_addr=(self.ip, 0))))
+                    ended, knocks = await asyncio.wait(knocks, timeout=KNOCK_S, return_when=asyncio.FIRST_COMPLETED)
+                    for knock in ended:
+                        knock.result()
         except (OSError, TimeoutError):
             self.waits[link.ip] = min(2 * wait_s, CONNECT_TIMEOUT_S[1])
             link.lost()
+        finally:
+            for knock in knocks:
+                knock.cancel()
 
     def forget(self, link: Link) -> None:
         self.links.discard(link)
--- a/lab/simulation.py
+++ b/lab/simulation.py
@@ -32,8 +32,9 @@
 PROBE_S, MOST_PROBE_S = 0.2, 60.0
 #: Datagrams are dropped where a link has so much waiting already.
 FULL_S = 0.2
-#: A machine that is known but has no listener refuses at once; one without power lets the caller wait.
-FOREVER_S = 3600.0
+#: A machine that is known but has no listener refuses at once; one without power lets the caller wait. The first packet
+#: of a connection is sent again after so long, then after twice that, and so on.
+SYN_AGAIN_S, FOREVER_S = 1.0, 3600.0
 #: How often one that waits for a listener looks for it.
 EARLY_TICK_S = 0.005
 
@@ -254,6 +255,9 @@
         if self.ended is not None and not self.inbox and not self.shut:
             self.end(self.ended)
 
+    def set_protocol(self, protocol: asyncio.BaseProtocol) -> None:
+        self.protocol = protocol
+
     def pause_reading(self) -> None:
         self.paused = True
 
@@ -372,9 +376,12 @@
     async def connect(self, loop: Loop, here: Host, factory: Callable[[], Any], ip: str, port: int) -> Any:
         there = self.hosts.get(ip)
         await asyncio.sleep(self.delay(here, there) if there is not None else 0.0)
-        if there is None or not self.open(here, there):
-            await asyncio.sleep(FOREVER_S)
-            raise TimeoutError
+        again_s = SYN_AGAIN_S
+        while there is None or not self.open(here, there):
+            await asyncio.sleep(again_s)
+            again_s *= 2
+            if again_s > FOREVER_S:
+                raise TimeoutError
         await asyncio.sleep(self.delay(there, here))
         while port in there.early and port not in there.listeners and there.up:
             await asyncio.sleep(EARLY_TICK_S)
