Answer joins that came while a machine was about to be the root

Cause: nodes that have started are referred to the last of the chain before it leads; it answered them with itself, and they asked again 0.4 to 0.5 s later. Ruled out: the transfers (0.03 s from the join to the configuration) and the links. Change: the last of the chain keeps such joins and answers them as it becomes the root.

--- a/cypressbeam/core.py
+++ b/cypressbeam/core.py
@@ -134,6 +134,8 @@
         self.roster = Roster(settings.node)
         self.rooted_s = self.introduced_s = 0.0
         self.poller: asyncio.Task[None] | None = None
+        self.early: dict[str, tuple[Link, frames.Join]] = {}
+        """Joins that came while this machine was about to be the root."""
         self.tasks: set[asyncio.Task[Any]] = set()
 
     # -- start ---------------------------------------------------------------------------------------------
@@ -172,6 +174,10 @@
         if self.settings.platform is not None:
             self.poller = self.loop.create_task(Poller(self.settings.platform, self.take_list,
                                                        self.chance).run())
+        early, self.early = self.early, {}
+        for link, join in early.values():
+            if not link.closed:
+                self.on_join(link, join)
 
     def on_found(self, link: Link, frame: frames.Found) -> None:
         """The founding view is proposed. Only the first one is ever taken up, and it is on disk before it counts."""
@@ -292,6 +298,11 @@
 
     # -- the roster and the list, at the root --------------------------------------------------------------
 
+    def on_early_join(self, link: Link, frame: frames.Join) -> None:
+        """The last of the chain is the root as soon as it leads: who has asked by then is not left to ask again."""
+        if self.view is not None and self.view.members[-1:] == (self.settings.ip,):
+            self.early[frame.name] = link, frame
+
     def on_join(self, link: Link, frame: frames.Join) -> None:
         if frame.name not in self.roster.nodes:
             log.info("node %s at %s joins", frame.name, frame.ip)
--- a/cypressbeam/node.py
+++ b/cypressbeam/node.py
@@ -300,6 +300,8 @@
         if self.relay.is_root and self.core is not None:
             self.core.on_join(link, frame)
             return
+        if self.core is not None:
+            self.core.on_early_join(link, frame)
         if self.founding is not None and frame.identity and not frame.placed:
             self.founding.candidate(frame.identity, self.loop.time())
         members = self.members()
