Pack bodies as small as they get

After a loss of all power each of 77 nodes fetches the whole configuration at once: 1,508 routes are 185 kB, 27.8 kB packed at zlib's level 1, 25.3 at 5 and 21.9 at 9, for 0.9, 1.6 and 4.7 ms of a core, once a version. bz2 gets 17.9 kB for 22 ms, and as long at each node. Level 9: a fifth less on the links when they are fullest.

--- a/cypressbeam/delta.py
+++ b/cypressbeam/delta.py
@@ -15,8 +15,8 @@
 MARK = b"\x65label"
 #: Bytes to take from the base: where, how many; then how many new ones follow.
 RANGE = struct.Struct("!III")
-#: The level that is nearly as small as any for configurations, at a third of the time.
-LEVEL = 1
+#: Packed once and carried to each node: 1,500 routes come to 22 kB in place of 28 at level 1, for 4 ms more.
+LEVEL = 9
 #: No body is larger.
 MOST_BODY = 16 * 1024 * 1024
 
