--- a/cypressbeam/cli.py
+++ b/cypressbeam/cli.py
@@ -4,7 +4,7 @@
 
 import logging
 import sys
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 from typing import Any, TypeVar
@@ -35,6 +35,7 @@
 WHERE = Where()
 FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
 NEW_FILE = click.Path(dir_okay=False, path_type=Path)
+HTML = click.option("--html", "page", type=NEW_FILE, help="Write a page with tables and plots.")
 
 
 def reach(what: Coroutine[Any, Any, T]) -> T:
@@ -232,17 +233,20 @@
 @click.option("--servers", default=100, show_default=True, help="Servers on the platform's list.")
 @click.option("--seed", default=1, show_default=True, help="What comes by chance.")
 @click.option("--json", "as_json", is_flag=True, help="For programs.")
-def scale(sizes: str, cores: int, routes: int, servers: int, seed: int, as_json: bool) -> None:
+@HTML
+def scale(sizes: str, cores: int, routes: int, servers: int, seed: int, as_json: bool, page: Path | None) -> None:
     """What grows with the fleet: costs at several sizes, and the exponent of each.
 
     Exit code 3 if a cost grows faster than the fleet.
     """
-    from lab.scale import MOST_EXPONENT, document, exponents, measure, table
+    from lab.scale import document, measure, table
 
     logging.disable(logging.WARNING)
     found = [measure(int(size), cores, routes, servers, seed) for size in sizes.split(",")]
     click.echo(msgspec.json.encode(document(found)).decode() if as_json else table(found))
-    sys.exit(3 if any(slope is not None and slope > MOST_EXPONENT for slope in exponents(found).values()) else 0)
+    write_growth(page, "What grows with the fleet",
+                 {"played": f"{cores} core machines, {routes} routes, {servers} servers, seed {seed}"}, found)
+    sys.exit(3 if too_steep(found) else 0)
 
 
 def day_of(file: Path | None) -> Any:
@@ -285,7 +289,9 @@
 @click.option("--choice", default="", help="How the other side chooses a server: random or round-robin.")
 @click.option("--seeds", default=8, show_default=True, help="How many days of each side.")
 @click.option("--jobs", default=8, show_default=True, help="Processes at once.")
-def compare(file: Path | None, settings: tuple[str, ...], choice: str, seeds: int, jobs: int) -> None:
+@HTML
+def compare(file: Path | None, settings: tuple[str, ...], choice: str, seeds: int, jobs: int,
+            page: Path | None) -> None:
     """The program as it is against one with other figures, on the same days, paired by seed; a Markdown table.
 
     A difference whose 95% interval leaves out 0 is marked with a star.
@@ -298,8 +304,55 @@
     except experiment.ExperimentError as err:
         click.echo(f"cypressbeam: {err}", err=True)
         sys.exit(2)
-    pairs = experiment.compare(day_of(file), change, range(1, seeds + 1), jobs)
+    played = day_of(file)
+    pairs = experiment.compare(played, change, range(1, seeds + 1), jobs)
     click.echo(experiment.table(pairs, change))
+    if page is not None:
+        from lab import plots
+
+        rows = [(row.name, row.as_is, row.difference, row.give) for row in experiment.rows(pairs)]
+        plots.write(page, f"{played.name}: as it is, and with {change}", {"days": f"seeds 1 to {seeds}, in pairs"},
+                    experiment.table(pairs, change), [plots.difference_plot(rows)])
+
+
+def write_growth(page: Path | None, title: str, told: dict[str, str], found: Sequence[Any]) -> None:
+    """A page of what grows with the fleet, one plot a cost, if one is wanted."""
+    if page is None:
+        return
+    from lab import plots
+    from lab.scale import MOST_EXPONENT, exponents, points, table
+
+    slopes = exponents(found)
+    drawn = [plots.power_plot(name, at, slopes[name], MOST_EXPONENT) for name, at in points(found).items()]
+    plots.write(page, title, told, table(found), drawn)
+
+
+def too_steep(found: Sequence[Any]) -> bool:
+    from lab.scale import MOST_EXPONENT, exponents
+
+    return any(slope is not None and slope > MOST_EXPONENT for slope in exponents(found).values())
+
+
+@lab.command()
+@click.option("--sizes", default="20,80,300", show_default=True, help="Numbers of edge nodes.")
+@click.option("--seconds", default=10.0, show_default=True, help="Of traffic.")
+@click.option("--seed", default=1, show_default=True, help="What comes by chance.")
+@click.option("--jobs", default=4, show_default=True, help="Processes at once.")
+@HTML
+def growth(sizes: str, seconds: float, seed: int, jobs: int, page: Path | None) -> None:
+    """What traffic costs as the fleet grows: emulated days whose requests and servers grow with the edge nodes.
+
+    Exit code 3 if a cost grows faster than the fleet.
+    """
+    from lab.growth import measure_all
+    from lab.scale import table
+
+    logging.disable(logging.CRITICAL)
+    found = measure_all([int(size) for size in sizes.split(",")], seconds, seed, jobs)
+    click.echo(table(found))
+    write_growth(page, "What traffic costs as the fleet grows",
+                 {"played": f"{seconds:g} s of traffic at each size, seed {seed}"}, found)
+    sys.exit(3 if too_steep(found) else 0)
 
 
 #: Histories that one process plays before it tells of them.
--- a/lab/emulator.py
+++ b/lab/emulator.py
@@ -41,6 +41,8 @@
 READY_EVERY_S, READY_TIMEOUT_S, MISSES = 1.0, 1.0, 2
 #: The operator's pause between tries, and its patience with one.
 AGAIN_S, PATIENCE_S = 0.2, 3.0
+#: How often servers' connections are counted.
+COUNT_S = 0.2
 #: After the last request has come, for the answers of those in hand.
 TAIL_S = 3.0
 
@@ -84,6 +86,9 @@
         self.populations: list[Population] = []
         self.works_s = {f"/{kind.name}/".encode(): kind.work_ms / 1000 for kind in day.kinds}
         self.born = 0
+        self.began_s = self.loop.time()
+        self.most_connections = 0
+        """At one server at once, as looked at now and then."""
 
     # -- machines ------------------------------------------------------------------------------------------
 
@@ -289,6 +294,7 @@
         await self.as_operator(self.push)
         await asyncio.sleep(max(began_s + day.lead_s - self.loop.time(), 0.0))
         self.start_clients(self.loop.time() + day.traffic_s)
+        self.count_connections()
         events = [self.loop.create_task(self.befall(trouble)) for trouble in day.troubles]
         await asyncio.sleep(day.traffic_s + TAIL_S + max(kind.deadline_ms for kind in day.kinds) / 1000)
         for event in events:  # one that waits for a machine without power would wait for ever
@@ -296,6 +302,10 @@
                 event.result()
             event.cancel()
 
+    def count_connections(self) -> None:
+        self.most_connections = max(self.most_connections, *(len(one.frontend.connections) for one in self.servers))
+        self.loop.call_later(COUNT_S, self.count_connections)
+
     async def as_operator(self, what: Callable[[], Any]) -> Any:
         return await self.loop.create_task(what(), context=self.net.hosts["10.250.0.2"].context.copy())
 
--- /dev/null
+++ b/lab/plots.py
@@ -0,0 +1,83 @@
+"""Pages for people: one HTML file with tables and plots inside, that needs nothing else to be read.
+
+The plots are drawn by matplotlib as SVG. Nothing but the commands that write a page loads this module.
+"""
+
+from __future__ import annotations
+
+import html
+import io
+from collections.abc import Iterable, Mapping, Sequence
+from pathlib import Path
+
+from matplotlib import rc_context
+from matplotlib.figure import Figure
+
+STYLE = """body{font:15px/1.5 system-ui,sans-serif;max-width:70rem;margin:2rem auto;padding:0 1rem;color:#222}
+table{border-collapse:collapse;margin:1rem 0}td,th{padding:.2rem .7rem;border-bottom:1px solid #ddd;text-align:right}
+td:first-child,th:first-child{text-align:left}
+.plots{display:flex;flex-wrap:wrap;gap:1rem}.plots svg{min-width:20rem;flex:1 1 20rem;height:auto}
+.found{color:#b00020;font-weight:600}"""
+COLUMNS = ("#1f5fa8", "#b00020")
+
+
+def svg(figure: Figure) -> str:
+    """A figure as a piece of HTML."""
+    out = io.StringIO()
+    with rc_context({"svg.hashsalt": "cypressbeam"}):  # the same figures give the same file
+        figure.savefig(out, format="svg", metadata={"Date": None})
+    text = out.getvalue()
+    return text[text.index("<svg"):]
+
+
+def power_plot(name: str, points: Sequence[tuple[float, float]], slope: float | None, most: float) -> str:
+    """A cost over the size on log axes, with its fitted exponent; over `most` it is red."""
+    shown = [(size, cost) for size, cost in points if cost > 0]
+    found = slope is not None and slope > most
+    figure = Figure(figsize=(4.0, 2.8), layout="constrained")
+    axes = figure.subplots()
+    if shown:
+        axes.plot(*zip(*shown, strict=True), "o-", color=COLUMNS[found])
+        axes.set_xscale("log")
+        axes.set_yscale("log")
+    axes.set_title(f"{name}\n" + ("no exponent" if slope is None else f"exponent {slope:.2f}"), fontsize=10)
+    axes.set_xlabel("edge nodes")
+    axes.grid(True, which="both", alpha=0.25)
+    return svg(figure)
+
+
+def difference_plot(rows: Sequence[tuple[str, float, float, float]]) -> str:
+    """Of each figure (name, what it was, mean difference, half width) the difference as a share of what it was."""
+    shown = [row for row in rows if row[1]]
+    figure = Figure(figsize=(8.0, 0.6 + 0.32 * len(shown)), layout="constrained")
+    axes = figure.subplots()
+    for place, (_, was, difference, give) in enumerate(shown):
+        clear = abs(difference) > give
+        reach = min(give, 10 * abs(was)) / abs(was)
+        axes.errorbar(100 * difference / was, -place, xerr=100 * reach, fmt="o", capsize=3, color=COLUMNS[clear])
+    axes.set_yticks([-place for place in range(len(shown))], [row[0] for row in shown])
+    axes.axvline(0.0, color="#888", linewidth=0.8)
+    axes.set_xlabel("difference, % of the figure as it is (95%; red: clear)")
+    axes.grid(True, axis="x", alpha=0.25)
+    return svg(figure)
+
+
+def as_html(markdown: str) -> str:
+    """A Markdown table as HTML; cells that are marked as a finding stand out."""
+    rows = [[cell.strip() for cell in line.strip("|").split("|")] for line in markdown.splitlines()]
+    head, body = rows[0], rows[2:]
+
+    def cell(text: str) -> str:
+        mark = ' class="found"' if text.endswith(("(!)", "*")) else ""
+        return f"<td{mark}>{html.escape(text)}</td>"
+    lines = ["<tr>" + "".join(f"<th>{html.escape(text)}</th>" for text in head) + "</tr>"]
+    lines += ["<tr>" + "".join(map(cell, row)) + "</tr>" for row in body]
+    return "<table>" + "".join(lines) + "</table>"
+
+
+def write(file: Path, title: str, told: Mapping[str, str], table: str, plots: Iterable[str]) -> None:
+    """A page: what was played, as terms and their words, the plots, and the table they show."""
+    terms = "".join(f"<li><b>{html.escape(term)}</b>: {html.escape(word)}</li>" for term, word in told.items())
+    file.write_text(f"<!doctype html><html lang=en><meta charset=utf-8><title>{html.escape(title)}</title>"
+                    f"<style>{STYLE}</style><h1>{html.escape(title)}</h1><ul>{terms}</ul>"
+                    f"<div class=plots>{''.join(plots)}</div>{as_html(table)}</html>\n", encoding="utf-8")
--- a/lab/scale.py
+++ b/lab/scale.py
@@ -26,10 +26,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Costs:
-    """Of one size. Times are simulated seconds, rates a second; of all figures more is worse."""
+class Sized:
+    """Costs of a fleet of so many edge nodes."""
 
     edges: int
+
+
+@dataclass(frozen=True, slots=True)
+class Costs(Sized):
+    """Of one size. Times are simulated seconds, rates a second; of all figures more is worse."""
+
     start_s: float
     """Until all have a place and the first configuration."""
     change_s: float
@@ -161,9 +167,9 @@
         cluster.close()
 
 
-def exponent(points: Sequence[tuple[float, float]]) -> float | None:
+def exponent(found: Sequence[tuple[float, float]]) -> float | None:
     """The slope of the cost over the size, both as logarithms; None where there is nothing to fit."""
-    logs = [(math.log(size), math.log(cost)) for size, cost in points if cost > 0 and math.isfinite(cost)]
+    logs = [(math.log(size), math.log(cost)) for size, cost in found if cost > 0 and math.isfinite(cost)]
     if len({size for size, _ in logs}) < 2:
         return None
     middle = statistics.fmean(size for size, _ in logs), statistics.fmean(cost for _, cost in logs)
@@ -171,13 +177,18 @@
     return sum((size - middle[0]) * (cost - middle[1]) for size, cost in logs) / spread
 
 
-def exponents(all_costs: Sequence[Costs]) -> dict[str, float | None]:
+def points(all_costs: Sequence[Sized]) -> dict[str, list[tuple[float, float]]]:
+    """Each cost at each size."""
+    return {field.name: [(float(costs.edges), float(getattr(costs, field.name))) for costs in all_costs]
+            for field in fields(all_costs[0]) if field.name != "edges"}
+
+
+def exponents(all_costs: Sequence[Sized]) -> dict[str, float | None]:
     """Of each cost, over the number of edge nodes."""
-    return {field.name: exponent([(costs.edges, float(getattr(costs, field.name))) for costs in all_costs])
-            for field in fields(Costs) if field.name != "edges"}
+    return {name: exponent(found) for name, found in points(all_costs).items()}
 
 
-def table(all_costs: Sequence[Costs]) -> str:
+def table(all_costs: Sequence[Sized]) -> str:
     """The figures as a Markdown table, one row a cost, with the exponents; findings are marked."""
     lines = ["| cost | " + " | ".join(f"{costs.edges}" for costs in all_costs) + " | exponent |",
              "| --- |" + " ---: |" * (len(all_costs) + 1)]
@@ -189,6 +200,6 @@
     return "\n".join(lines)
 
 
-def document(all_costs: Sequence[Costs]) -> dict[str, object]:
+def document(all_costs: Sequence[Sized]) -> dict[str, object]:
     """The same for programs."""
     return {"sizes": [asdict(costs) for costs in all_costs], "exponents": exponents(all_costs)}
