Refuse configurations that could not be carried out, found by fuzzing

Times of the constraints that are NaN or infinite were valid too: NaN compares with nothing, so min() let it pass, and clients would never have been timed out. A settings file with 'listeners.front=,' ended in a traceback. Change: a revision fits eight bytes with a sign, each constraint is a number above 0, an address is exactly one. After: 400 for such a revision, and the view stays.

--- a/cypressbeam/configuration.py
+++ b/cypressbeam/configuration.py
@@ -4,12 +4,15 @@
 
 import hashlib
 import io
+import math
 from typing import Literal
 
 import cbor2
 import msgspec
 
 Mode = Literal["idempotent", "effectful", "ingest"]
+#: Between nodes and on disk a version's number has eight bytes, with a sign.
+MOST_REVISION = 2 ** 63 - 1
 
 
 class Invalid(Exception):
@@ -102,11 +105,13 @@
 
 def check(configuration: Configuration) -> None:
     """Raises Invalid for what PROTOCOL.md calls invalid, and for what could not be carried out."""
-    if configuration.revision <= 0:
-        raise Invalid(f"revision: above 0 is wanted, not {configuration.revision}")
+    if not 0 < configuration.revision <= MOST_REVISION:
+        raise Invalid(f"revision: 1 to {MOST_REVISION} is wanted, not {configuration.revision}")
     limits = configuration.constraints
-    if min(limits.header_max_bytes, limits.body_max_bytes, limits.header_wait_ms, limits.quiet_ms) <= 0:
-        raise Invalid("constraints: each must be above 0")
+    # Each by itself: what is no number compares with nothing, and would pass for the least of them.
+    if not all(0 < figure < math.inf for figure in (limits.header_max_bytes, limits.body_max_bytes,
+                                                    limits.header_wait_ms, limits.quiet_ms)):
+        raise Invalid("constraints: each must be above 0, and a number")
     services = {plant.label for plant in configuration.plants}
     if len(services) != len(configuration.plants):
         raise Invalid("plants: two have the same label")
--- a/cypressbeam/settings.py
+++ b/cypressbeam/settings.py
@@ -77,7 +77,10 @@
         return value
 
     def address(self, key: str) -> Address | None:
-        return self.addresses(key)[0] if self.values.get(key) else None
+        found = self.addresses(key)
+        if len(found) > 1 or (self.values.get(key) and not found):
+            raise self.wrong(key, "host:port")
+        return found[0] if found else None
 
     def addresses(self, key: str) -> tuple[Address, ...]:
         try:
