--- a/cypressbeam/cli.py
+++ b/cypressbeam/cli.py
@@ -4,6 +4,7 @@
 
 import logging
 import sys
+import warnings
 from collections.abc import Callable, Coroutine, Sequence
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
@@ -165,7 +166,7 @@
     """Joins, kills, cuts and loss in fleets of whole nodes on a simulated network; figures as a Markdown table."""
     from lab.membership import table
 
-    logging.disable(logging.WARNING)  # simulated nodes tell of simulated trouble
+    quiet()
     click.echo(table([int(size) for size in sizes.split(",")], seeds))
 
 
@@ -222,7 +223,7 @@
     """How long configurations and drains take over thin links, and what the links carry for them."""
     from lab.news import measure, table
 
-    logging.disable(logging.WARNING)
+    quiet()
     click.echo(table(measure(edges, seed, edge_mbps, core_mbps, routes)))
 
 
@@ -241,7 +242,7 @@
     """
     from lab.scale import document, measure, table
 
-    logging.disable(logging.WARNING)
+    quiet()
     found = [measure(int(size), cores, routes, servers, seed) for size in sizes.split(",")]
     click.echo(msgspec.json.encode(document(found)).decode() if as_json else table(found))
     write_growth(page, "What grows with the fleet",
@@ -249,6 +250,12 @@
     sys.exit(3 if too_steep(found) else 0)
 
 
+def quiet() -> None:
+    """Simulated nodes tell of simulated trouble; and one that loses its power leaves what it was about to do."""
+    logging.disable(logging.CRITICAL)
+    warnings.filterwarnings("ignore", "coroutine .* was never awaited", RuntimeWarning)
+
+
 def day_of(file: Path | None) -> Any:
     """The day in a file, or the usual one. Exit code 2 with one line where the file is no day."""
     from lab.day import Day, DayError, load
@@ -271,7 +278,7 @@
     """
     from lab.emulator import play
 
-    logging.disable(logging.CRITICAL)  # simulated nodes tell of simulated trouble
+    quiet()
     found = play(day_of(file), seed)
     if plain:
         click.echo(as_json({"figures": found.figures, "breaches": found.breaches}))
@@ -290,7 +297,7 @@
     """Days drawn by chance from all troubles, to find broken rules; a find is shrunk. Exit code 3 if there is one."""
     from lab.daily import search_with
 
-    logging.disable(logging.CRITICAL)
+    quiet()
     found = hunt(search_with, "", range(first, first + seeds), jobs)
     click.echo(f"seed {found[0]}: {found[1]}" if found is not None else f"{seeds} days, nothing found")
     sys.exit(3 if found is not None else 0)
@@ -312,7 +319,7 @@
     """
     from lab import experiment
 
-    logging.disable(logging.CRITICAL)
+    quiet()
     try:
         change = experiment.read_change(settings, choice)
     except experiment.ExperimentError as err:
@@ -361,7 +368,7 @@
     from lab.growth import measure_all
     from lab.scale import table
 
-    logging.disable(logging.CRITICAL)
+    quiet()
     found = measure_all([int(size) for size in sizes.split(",")], seconds, seed, jobs)
     click.echo(table(found))
     write_growth(page, "What traffic costs as the fleet grows",
