Tell all nodes of a zone which servers fail for several of them

Cause: each node pays its own failures to learn that a server is ill. Ruled out: two zones for a verdict, tried first: nodes use servers near by, so no server was reported from two. Change: nodes report servers that failed what they had up the tree, the root tells a zone once two of its nodes have reported one within 2 s, and a verdict begins the rest that an own fault would. Bounds in docs/design/verdicts.md; gateway.shareFaults turns it off.

--- a/cypressbeam/frames.py
+++ b/cypressbeam/frames.py
@@ -489,11 +489,33 @@
     FORM = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Ailing(Frame):
+    """Servers that have failed the named node lately; from parent to parent up to the root."""
+
+    KIND = 32
+    FORM = "cssl"
+    hops: int
+    name: str
+    zone: str
+    servers: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict(Frame):
+    """Servers that fail for many nodes of a zone, from the root down the tree."""
+
+    KIND = 33
+    FORM = "sl"
+    zone: str
+    servers: tuple[str, ...]
+
+
 FRAMES: dict[int, type[Frame]] = {
     kind.KIND: kind for kind in (Join, Refer, Place, Attach, News, Servers, Beat, Suspect, Leave, Order, Outcome,
                                  Forward, Committed, Read, Reading, Found, Founded, Pulse, ViewIs, Prepare,
                                  Promise, Accept, Confirm, Confirmed, Ask, State, Want, Slice, Lacking, Released,
-                                 Alive)}
+                                 Alive, Ailing, Verdict)}
 
 
 def unpack(kind: int, body: bytes) -> Frame:
--- a/cypressbeam/gate.py
+++ b/cypressbeam/gate.py
@@ -4,7 +4,7 @@
 
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from cypressbeam import listing
 from cypressbeam.configuration import Channel, Configuration, Constraints
@@ -16,6 +16,7 @@
 from mallowworks.frontend import ClientConnection
 from mallowworks.http import Answer, Limits
 from mallowworks.messages import BadRequest, Message, gather, pass_on
+from mallowworks.upstream import Attempt
 from pepperrelay import interface as it
 from pepperrelay.balancer import Balancer
 
@@ -51,6 +52,9 @@
 #: A node that has no configuration yet asks its clients to come back after so many seconds.
 NOT_READY_S = b"0.5"
 
+#: What a server does wrong by itself, as far as a node can tell. A connect may fail by this side's doing.
+SERVERS_FAULTS = frozenset({it.Ending.ERROR, it.Ending.RESET})
+
 MODES = {"idempotent": it.Repeat.SAFE, "effectful": it.Repeat.UNSAFE, "ingest": it.Repeat.UNSAFE}
 
 
@@ -112,6 +116,8 @@
         self.listed = False
         self.version = 0
         self.fronts, self.index = 1, 0
+        self.on_fault: Callable[[str], None] = lambda server: None
+        """Told of each server that has failed a request which it had."""
         self.start_upkeep()
 
     def can_serve(self) -> bool:
@@ -181,8 +187,22 @@
             for server in self.servers.values() if server.plant == service)
         desk.feed(it.ListChanged(self.version, it.ListScope.WHOLE, entries))
 
+    def take_verdict(self, servers: Iterable[str]) -> None:
+        """Servers that fail for many nodes."""
+        for ident in servers:
+            server = self.servers.get(ident)
+            desk = self.desks.get(server.plant) if server is not None else None
+            if desk is not None:
+                desk.feed(it.ServerAils(ident))
+
     # -- requests ------------------------------------------------------------------------------------------
 
+    def attempt_ended(self, attempt: Attempt, ending: it.Ending, answer: Answer | None,
+                      report: it.Report | None) -> None:
+        if ending in SERVERS_FAULTS:
+            self.on_fault(attempt.server)
+        super().attempt_ended(attempt, ending, answer, report)
+
     def serve(self, message: Message, connection: ClientConnection) -> Answer | None:
         if self.table is None or not self.listed or not connection.admitted:
             connection.closing = True
--- a/cypressbeam/node.py
+++ b/cypressbeam/node.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 from collections.abc import Mapping
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -21,6 +22,7 @@
 from cypressbeam.settings import VARIABLE, Settings, SettingsError, load
 from cypressbeam.store import Storage, Store
 from cypressbeam.survey import Survey
+from cypressbeam.verdicts import Verdicts
 from cypressbeam.watch import Watch
 from mallowworks.discovery import Address
 from mallowworks.frontend import ClientConnection, Frontend, readiness
@@ -41,6 +43,9 @@
 READ_S = 0.1
 #: How often the settings file is looked at.
 FILE_TICK_S = 1.0
+#: Faults of servers are gathered for so long before they are reported, so many at once, over so many relays at most.
+REPORT_S = 0.1
+MOST_REPORTED, MOST_HOPS = 32, 20
 
 
 class Readiness:
@@ -88,6 +93,11 @@
         self.survey = Survey(settings.ip, self.members, self.tell, self.peers.send)
         self.control = Control(settings.ip, self.members, self.peers.send, self.survey, self.better_reader)
         self.founding: Founding | None = None
+        self.verdicts = Verdicts()
+        self.faults: dict[str, None] = {}
+        """Servers that failed here and are to be reported, in the order in which they did."""
+        if self.gate is not None and settings.share_faults:
+            self.gate.on_fault = self.note_fault
         self.frontends: list[Frontend] = []
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -248,6 +258,34 @@
         elif self.relay.root:
             self.peers.send(self.relay.root, frames.Suspect(name))
 
+    # -- servers that fail ---------------------------------------------------------------------------------
+
+    def note_fault(self, server: str) -> None:
+        if not self.faults:
+            self.loop.call_later(REPORT_S, self.report_faults)
+        self.faults[server] = None
+
+    def report_faults(self) -> None:
+        servers, self.faults = tuple(self.faults)[:MOST_REPORTED], {}
+        self.pass_up(frames.Ailing(0, self.settings.node, self.settings.zone, servers))
+
+    def pass_up(self, frame: frames.Ailing) -> None:
+        """To the root, from parent to parent. A circle of parents ends, and so must what goes round in it."""
+        if self.relay.is_root and self.core is not None:
+            found = self.verdicts.report(frame.name, frame.zone, frame.servers, len(self.relay.listing.servers),
+                                         self.loop.time())
+            if found:
+                log.info("servers that fail for many of %s: %s", frame.zone, " ".join(found))
+                self.relay.tell(frames.Verdict(frame.zone, tuple(found)))
+        elif self.relay.parent is not None and frame.hops < MOST_HOPS:
+            self.relay.parent.send(replace(frame, hops=frame.hops + 1))
+
+    def on_verdict(self, link: Link, frame: frames.Verdict) -> None:
+        if link is self.relay.parent:
+            self.relay.tell(frame)
+            if self.gate is not None and frame.zone == self.settings.zone:
+                self.gate.take_verdict(frame.servers)
+
     # -- frames --------------------------------------------------------------------------------------------
 
     def on_lost(self, link: Link) -> None:
@@ -281,6 +319,10 @@
             self.survey.on_state(frame)
         elif isinstance(frame, frames.Founded):
             self.on_founded(frame)
+        elif isinstance(frame, frames.Ailing):
+            self.pass_up(frame)
+        elif isinstance(frame, frames.Verdict):
+            self.on_verdict(link, frame)
         elif core is not None:
             self.on_core_frame(core, link, frame)
 
--- a/cypressbeam/settings.py
+++ b/cypressbeam/settings.py
@@ -51,6 +51,8 @@
     platform: Address | None
     platform_per_s: float
     envelope: Envelope
+    share_faults: bool = True
+    """Whether nodes tell each other which servers fail (docs/design/verdicts.md)."""
 
     @property
     def peer_port(self) -> int:
@@ -88,8 +90,8 @@
         except ValueError:
             raise self.wrong(key, "host:port") from None
 
-    def flag(self, key: str) -> bool:
-        value = self.values.get(key, "false")
+    def flag(self, key: str, default: bool = False) -> bool:
+        value = self.values.get(key, str(default).lower())
         if value not in ("true", "false"):
             raise self.wrong(key, "true or false")
         return value == "true"
@@ -136,7 +138,7 @@
         link_mbps=lines.number("constraints.linkMbps", 1000.0, 0.01),
         machine_losses=lines.number("tolerance.machineLosses", 0),
         platform=lines.address("platform.address"),
-        platform_per_s=lines.number("platform.ratePerS", 10.0),
+        platform_per_s=lines.number("platform.ratePerS", 10.0), share_faults=lines.flag("gateway.shareFaults", True),
         envelope=Envelope(
             converge_ms=lines.number("envelope.convergeMs", 3000),
             drain_deadline_ms=lines.number("envelope.drainDeadlineMs", 3000),
--- a/lab/day.py
+++ b/lab/day.py
@@ -84,6 +84,8 @@
     """Routes that nobody asks for."""
     lead_s: float = 10.0
     traffic_s: float = 20.0
+    share_faults: bool = True
+    """Whether nodes tell each other which servers fail."""
     contact_s: float = 5.0
     """A machine is out of touch until so long after its trouble."""
     drain_s: float = 4.0
--- a/lab/emulator.py
+++ b/lab/emulator.py
@@ -101,7 +101,7 @@
                             retry_slack=day.retry_slack)
         return replace(super().settings_of(name, ip, zone, core), control=(ip, CONTROL), platform=PLATFORM,
                        readiness=None if core else (ip, READY), memory_mb=day.memory_mb, file_handles=4100,
-                       envelope=envelope)
+                       envelope=envelope, share_faults=day.share_faults)
 
     def add(self, name: str, ip: str, zone: str, core: bool) -> None:
         super().add(name, ip, zone, core)
--- a/pepperrelay/balancer.py
+++ b/pepperrelay/balancer.py
@@ -441,6 +441,8 @@
             self.on_stream(event)
         elif isinstance(event, it.SettingsChanged):
             self.on_settings(event.settings)
+        elif isinstance(event, it.ServerAils):
+            self.on_ails(self.servers.get(event.server))
         elif isinstance(event, it.ProbeEnded) and event.server in self.servers:
             self.servers[event.server].learn(event.report)
         return self.actions
@@ -688,6 +690,13 @@
         server.rest_us = int(rest_us * (0.75 + 0.5 * self.chance.random()))
         server.faults += 1
 
+    def on_ails(self, server: Server | None) -> None:
+        """Others say that it fails: as one fault of its own, unless it rests already."""
+        if server is not None and not server.unwell:
+            self.fault(server)
+            server.trial_us = self.now_us
+            self.refresh(server)
+
     def after_failure(self, request: Request) -> None:
         retries = len(request.attempts)
         most = request.kind.tries or self.settings.max_attempts
--- a/pepperrelay/interface.py
+++ b/pepperrelay/interface.py
@@ -280,8 +280,15 @@
     settings: Settings
 
 
+@dataclass(frozen=True, slots=True)
+class ServerAils:
+    """Other proxies have found that a server fails: it rests as if it had failed here."""
+
+    server: str
+
+
 Event = (SettingsChanged | ListChanged | RequestArrived | StreamBegan | AttemptEnded | ClientGone | ProbeEnded
-         | TimerFired | MessageCame)
+         | ServerAils | TimerFired | MessageCame)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -48,6 +48,7 @@
     assert settings.front == ("10.1.0.13", 8641) and settings.control is None and settings.bootstrap
     assert settings.seeds == (("10.1.0.16", 8649), ("10.2.0.21", 8649)) and settings.peer_port == 7620
     assert settings.envelope.retry_slack == 60 and settings.state_dir is None
+    assert settings.share_faults and not parse(BOOT + "gateway.shareFaults=false\n", "boot.conf").share_faults
 
 
 @pytest.mark.parametrize(("old", "new", "told"), [
--- /dev/null
+++ b/tests/test_verdicts.py
@@ -0,0 +1,104 @@
+"""What nodes tell each other of servers that fail: who counts, who is told, and what a verdict does to a balancer."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterator
+
+import msgspec
+import pytest
+
+import pepperrelay as pr
+from cypressbeam.verdicts import REST_S, WINDOW_S, Verdicts
+from lab.day import Day, Kind, Service, Trouble
+from lab.emulator import World
+from pepperrelay.balancer import TRIAL_US, Balancer
+
+LISTED = 40
+
+
+@pytest.fixture(autouse=True)
+def quiet() -> Iterator[None]:
+    logging.disable(logging.CRITICAL)
+    yield
+    logging.disable(logging.NOTSET)
+
+
+def test_two_nodes_of_a_zone_make_a_verdict_for_it_once_in_a_rest() -> None:
+    verdicts = Verdicts()
+    assert verdicts.report("n1", "a", ["s1"], LISTED, 10.0) == []
+    assert verdicts.report("n1", "a", ["s1"], LISTED, 10.1) == []  # the same one again
+    assert verdicts.report("n2", "b", ["s1"], LISTED, 10.2) == []  # of another zone: it may fail for one alone
+    assert verdicts.report("n3", "a", ["s1", "s2", "s1"], LISTED, 10.3) == ["s1"]
+    assert verdicts.report("n4", "a", ["s1"], LISTED, 10.4) == []  # told of just now
+    assert verdicts.report("n4", "a", ["s1"], LISTED, 10.3 + REST_S) == ["s1"]
+
+
+def test_reports_fade_and_leave_nothing_behind() -> None:
+    verdicts = Verdicts()
+    verdicts.report("n1", "a", ["s1"], LISTED, 10.0)
+    assert verdicts.report("n2", "a", ["s1"], LISTED, 10.1 + WINDOW_S) == []
+    verdicts.report("n2", "a", ["s1"], LISTED, 11.0 + WINDOW_S)
+    verdicts.forget(100.0)
+    assert not verdicts.reports and not verdicts.told
+
+
+def test_a_node_that_is_ill_itself_and_a_day_on_which_all_fails_empty_no_zone() -> None:
+    verdicts = Verdicts()
+    everything = [f"s{number}" for number in range(LISTED)]
+    assert verdicts.report("ill", "a", everything, LISTED, 10.0) == []
+    assert verdicts.report("well", "a", ["s1"], LISTED, 10.1) == []  # the other reporter does not count
+    assert verdicts.report("well-too", "a", ["s1"], LISTED, 10.2) == ["s1"]
+    busy = Verdicts()
+    told = []
+    for number in range(LISTED):  # a few of each node, so that none looks ill
+        for node in range(2):
+            told += busy.report(f"n{number // 5}-{node}", "a", [f"s{number}"], LISTED, 10.0 + number / 100)
+    assert len(told) == LISTED // 4
+
+
+def balancer() -> Balancer:
+    kinds = (pr.RequestClass("read", pr.Repeat.SAFE, aim_us=10**6, deadline_us=10**7),
+             pr.RequestClass("order", pr.Repeat.UNSAFE, aim_us=10**6, deadline_us=10**7))
+    made = Balancer(pr.Settings(classes=kinds, proxies=40), seed=1)
+    made.handle(0, pr.ListChanged(1, pr.ListScope.WHOLE, tuple(pr.ServerEntry(f"s{i}") for i in range(2))))
+    return made
+
+
+def sent_to(made: Balancer, now_us: int, ident: str, kind: str) -> str:
+    actions = made.handle(now_us, pr.RequestArrived(ident, kind, now_us + 10**7))
+    (send,) = [action for action in actions if isinstance(action, pr.Send)]
+    made.handle(now_us + 10, pr.AttemptEnded(ident, 0, send.server, pr.Ending.OK, 10, True))
+    return send.server
+
+
+def test_a_verdict_rests_a_server_as_a_fault_of_ones_own_and_no_longer() -> None:
+    made = balancer()
+    made.handle(1, pr.ServerAils("s0"))
+    made.handle(1, pr.ServerAils("unknown"))
+    rest_us = made.servers["s0"].rest_us
+    assert 0.75 * TRIAL_US <= rest_us <= 1.25 * TRIAL_US
+    made.handle(2, pr.ServerAils("s0"))  # it rests already
+    assert made.servers["s0"].rest_us == rest_us and made.servers["s0"].faults == 1
+    assert {sent_to(made, 100 + i, f"r{i}", "read") for i in range(30)} == {"s1"}
+    later = 2 * TRIAL_US
+    assert {sent_to(made, later + i, f"o{i}", "order") for i in range(30)} == {"s1"}  # tried with what may be repeated
+    assert "s0" in {sent_to(made, later + 100 + i, f"l{i}", "read") for i in range(30)}
+
+
+def test_nodes_that_share_lose_fewer_requests_that_may_not_be_repeated() -> None:
+    """Twelve nodes in one zone, a quarter of the servers fails all that it gets."""
+    day = Day(edges=12, zones=1, traffic_s=8.0, services=(Service(name="booker", servers=12),),
+              kinds=(Kind(name="booking", service="booker", mode="effectful", per_s=100.0, work_ms=200.0, repeats=0),),
+              troubles=(Trouble(kind="srv_ill", how="errors", x=1.0, share=0.25, at=1.0, for_s=6.0),))
+
+    def lost(share: bool, seed: int) -> int:
+        world = World(msgspec.structs.replace(day, share_faults=share), seed)
+        try:
+            world.run(world.play())
+            assert not world.outcome().breaches
+            return sum(not wish.served for wish in world.ledger.wishes)
+        finally:
+            world.close()
+    alone, together = sum(lost(False, seed) for seed in (1, 2)), sum(lost(True, seed) for seed in (1, 2))
+    assert together < 0.6 * alone, (together, alone)
