--- a/lab/daily.py
+++ b/lab/daily.py
@@ -18,7 +18,8 @@
          Kind(name="booking", service="booker", mode="effectful", per_s=12.0, work_ms=290.0, worth=2.0, late_worth=0.6),
          Kind(name="upload", service="booker", mode="ingest", per_s=2.0, work_ms=250.0, body=60_000))
 KINDS_OF_TROUBLE = ("srv_ill", "srv_crash", "srv_flap", "release", "scale_in", "scale_out", "idle_race", "answer_lost",
-                    "surplus", "node_kill", "roll_term", "power_off_all", "zone_cut", "lossy", "burst", "config_change")
+                    "surplus", "node_kill", "roll_term", "power_off_all", "zone_cut", "lossy", "burst", "config_change",
+                    "config_race", "reuse")
 HOW = ("errors", "shed", "busy", "hang", "mute", "reset", "slow")
 #: Of each trouble that has one, the least and the most of its strength.
 STRENGTH = {"srv_ill": (0.1, 1.0), "idle_race": (0.1, 1.0), "answer_lost": (0.01, 0.3), "surplus": (0.01, 0.3),
--- a/lab/emulator.py
+++ b/lab/emulator.py
@@ -88,6 +88,8 @@
         self.populations: list[Population] = []
         self.works_s = {f"/{kind.name}/".encode(): kind.work_ms / 1000 for kind in day.kinds}
         self.born = 0
+        self.operator = asyncio.Lock()
+        """One operator at a time, unless two race."""
         self.began_s = self.loop.time()
         self.most_connections = 0
         """At one server at once, as looked at now and then."""
@@ -117,24 +119,26 @@
             node.gate.chance.seed(f"{seed} gate")
         return node
 
-    async def add_server(self, service: Service, zone: str, new: bool = False) -> Server:
-        """A server of a life of its own, at an address of its own; a new one is cold and shows on the list later."""
+    async def add_server(self, service: Service, zone: str, new: bool = False, host: Host | None = None) -> Server:
+        """A server of a life of its own, at an address of its own or at that of one that is gone; a new one is cold and
+        shows on the list later."""
         self.born += 1
-        host = self.net.add(f"10.{100 + self.zones.index(zone)}.{self.born // 200}.{1 + self.born % 200}", zone)
-        self.net.start(host)
+        ip = f"10.{100 + self.zones.index(zone)}.{self.born // 200}.{1 + self.born % 200}"
+        place = host or self.net.add(ip, zone)
+        self.net.start(place)
 
         async def begin() -> Server:
             server = Server(service.name, zone, service.slots, service.queue, ident=f"i-{self.born:05x}",
                             connections=service.connections, ledger=self.ledger, work_of=self.work_of,
                             chance=random.Random(f"{self.seed} server {self.born}"))
             server.speed = server.chance.lognormvariate(0.0, service.spread)
-            await server.listen(host.ip, SERVER_PORT)
+            await server.listen(place.ip, SERVER_PORT)
             return server
-        server = await self.loop.create_task(begin(), context=host.context)
+        server = await self.loop.create_task(begin(), context=place.context)
         if new:
             server.started_s = self.loop.time()
             server.history = [(self.loop.time(), "in_service")]
-        self.hosts[server.ident] = host
+        self.hosts[server.ident] = place
         self.servers.append(server)
         return server
 
@@ -214,22 +218,35 @@
 
     async def push(self) -> float:
         """Replace the configuration, at any node, until it is taken; when that was acknowledged."""
-        base = self.revision
-        self.revision += 1
-        body = cbor2.dumps(self.document(self.revision))
+        async with self.operator:
+            base, self.revision = self.revision, self.revision + 1
+            status = await self.settle(self.document(self.revision), base)
+            assert status == 200, f"a proper change got {status}"
+            return self.loop.time()
+
+    async def settle(self, document: dict[str, Any], base: int) -> int:
+        """Send a change until it has a clear answer: 200, or that it is refused."""
+        body = cbor2.dumps(document)
         while True:
             machine, settings = self.chance.choice(self.machines)
             if machine.up:
-                try:
+                with contextlib.suppress(OSError, EOFError, TimeoutError):
                     status = await self.post(settings, body, base)
-                except (OSError, EOFError, TimeoutError):
-                    status = 0
-                if status == 200:
-                    return self.loop.time()
-                if status in (400, 409, 412, 413, 422):
-                    raise AssertionError(f"a proper change got {status}")
+                    if status in (200, 400, 409, 412, 413, 422):
+                        return status
             await asyncio.sleep(AGAIN_S)
 
+    async def race(self) -> None:
+        """Two operators change the same version at the same time: one of them wins."""
+        async with self.operator:
+            base, self.revision = self.revision, self.revision + 2
+            numbers = (base + 1, base + 2)
+            answers = await asyncio.gather(*(self.settle(self.document(number), base) for number in numbers))
+            won = [number for number, status in zip(numbers, answers, strict=True) if status == 200]
+            if len(won) != 1:
+                self.ledger.breach("CONFIG", self.loop.time(), f"two changes on version {base} got {answers}")
+            self.revision = max(won, default=base)
+
     async def post(self, settings: Settings, body: bytes, base: int) -> int:
         assert settings.control is not None
         connection = ListConnection(settings.control)
--- a/lab/troubles.py
+++ b/lab/troubles.py
@@ -18,6 +18,8 @@
 T = TypeVar("T")
 #: A process that was killed is started again after so long; a drained server ends so long after its deadline.
 AGAIN_S, AFTER_DRAIN_S = 0.5, 0.5
+#: An address may serve again so long after its server has gone.
+REUSE_S = 2.0
 
 
 def some(world: World, things: Sequence[T], share: float) -> list[T]:
@@ -52,6 +54,21 @@
         server.state = "gone"
 
 
+async def reuse(world: World, trouble: Trouble) -> None:
+    """The same, and `REUSE_S` after they have left the list servers of other services come to their addresses."""
+    services = [*world.day.services]
+    chosen = some(world, world.of(trouble.service), trouble.share)
+    for server in chosen:
+        power_off(world, server)
+    await asyncio.sleep(trouble.for_s)
+    for server in chosen:
+        server.state = "gone"
+    await asyncio.sleep(REUSE_S)
+    for server in chosen:
+        other = next((service for service in services if service.name != server.plant), services[0])
+        await world.add_server(other, server.zone, new=True, host=world.hosts[server.ident])
+
+
 async def srv_flap(world: World, trouble: Trouble) -> None:
     """Servers turn away all that comes and serve it, by turns."""
     chosen = some(world, world.of(trouble.service), trouble.share)
@@ -189,7 +206,11 @@
     await world.as_operator(world.change_routes)
 
 
+async def config_race(world: World, trouble: Trouble) -> None:
+    await world.as_operator(world.race)
+
+
 KINDS: dict[str, Callable[[World, Trouble], Awaitable[None]]] = {
     act.__name__: act for act in (
         srv_ill, srv_crash, srv_flap, release, scale_in, scale_out, idle_race, answer_lost, surplus, node_kill,
-        roll_term, power_off_all, zone_cut, lossy, burst, config_change)}
+        roll_term, power_off_all, zone_cut, lossy, burst, config_change, config_race, reuse)}
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from cypressbeam.settings import Settings
 from lab import daily, experiment
 from lab.day import Day, DayError, Kind, Service, Trouble, load, read
 from lab.emulator import Outcome, World, play
@@ -61,7 +62,8 @@
     Trouble(kind="answer_lost", at=1.0, share=0.5, x=0.05), Trouble(kind="surplus", at=1.0, share=0.5, x=0.2),
     Trouble(kind="node_kill", at=1.0, for_s=1.0), Trouble(kind="node_kill", on="core", at=1.0, for_s=0.5),
     Trouble(kind="zone_cut", at=1.0, for_s=3.0), Trouble(kind="lossy", at=1.0, x=0.02),
-    Trouble(kind="burst", at=1.0, x=2.0), Trouble(kind="config_change", at=1.0)],
+    Trouble(kind="burst", at=1.0, x=2.0), Trouble(kind="config_change", at=1.0),
+    Trouble(kind="config_race", at=1.0), Trouble(kind="reuse", at=0.5, for_s=1.0, share=0.3)],
     ids=lambda one: f"{one.kind} {one.how}")
 def test_each_trouble_is_borne_within_the_rules(trouble: Trouble) -> None:
     found = play(small(trouble), 2)
@@ -79,6 +81,18 @@
     assert "MIXED" in {breach.rule for breach in play(day, 1).breaches}
 
 
+def test_a_day_finds_a_core_that_confirms_two_changes_on_one_version(monkeypatch: pytest.MonkeyPatch) -> None:
+    day = small(Trouble(kind="config_race", at=1.0))
+    post = World.post
+
+    async def anything_goes(self: World, settings: Settings, body: bytes, base: int) -> int:
+        """As a core would that never looked at what a change builds on."""
+        status = await post(self, settings, body, base)
+        return 200 if status == 412 else status
+    monkeypatch.setattr(World, "post", anything_goes)
+    assert [breach.rule for breach in play(day, 1).breaches] == ["CONFIG"]
+
+
 def test_a_day_finds_nodes_that_repeat_what_must_run_once(monkeypatch: pytest.MonkeyPatch) -> None:
     def whatever(self: balancer.Request) -> None:
         """As if nothing had ever run."""
