Crash servers in one place, and silence simulated nodes by one fixture

Read again: two troubles of the emulator crashed servers by the same lines, and four test files turned the log off each in its own way.

--- a/lab/troubles.py
+++ b/lab/troubles.py
@@ -44,7 +44,7 @@
     world.net.stop(world.hosts[server.ident])
 
 
-async def srv_crash(world: World, trouble: Trouble) -> None:
+async def crashed(world: World, trouble: Trouble) -> list[Server]:
     """Servers lose their power for good; the list shows them for some seconds more."""
     chosen = some(world, world.of(trouble.service), trouble.share)
     for server in chosen:
@@ -52,17 +52,17 @@
     await asyncio.sleep(trouble.for_s)
     for server in chosen:
         server.state = "gone"
+    return chosen
+
+
+async def srv_crash(world: World, trouble: Trouble) -> None:
+    await crashed(world, trouble)
 
 
 async def reuse(world: World, trouble: Trouble) -> None:
-    """The same, and `REUSE_S` after they have left the list servers of other services come to their addresses."""
+    """Servers crash, and `REUSE_S` after they have left the list servers of other services come to their addresses."""
     services = [*world.day.services]
-    chosen = some(world, world.of(trouble.service), trouble.share)
-    for server in chosen:
-        power_off(world, server)
-    await asyncio.sleep(trouble.for_s)
-    for server in chosen:
-        server.state = "gone"
+    chosen = await crashed(world, trouble)
     await asyncio.sleep(REUSE_S)
     for server in chosen:
         other = next((service for service in services if service.name != server.plant), services[0])
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import logging
 import random
-from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
@@ -17,6 +15,8 @@
 from mallowworks.http import ResponseReader
 from pepperrelay import balancer
 
+pytestmark = pytest.mark.usefixtures("quiet")
+
 SERVICES = (Service(name="finder", servers=6), Service(name="booker", servers=4))
 SMALL = {"edges": 6, "traffic_s": 6.0, "services": SERVICES, "kinds": (
     Kind(name="lookup", service="finder", per_s=25.0),
@@ -27,13 +27,6 @@
     return Day(**(SMALL | {"troubles": troubles} | more))  # type: ignore[arg-type]
 
 
-@pytest.fixture(autouse=True)
-def quiet() -> Iterator[None]:
-    logging.disable(logging.CRITICAL)
-    yield
-    logging.disable(logging.NOTSET)
-
-
 def outcome_and_tries(day: Day, seed: int) -> tuple[Outcome, list[object]]:
     world = World(day, seed)
     try:
--- a/tests/test_fleet_scale.py
+++ b/tests/test_fleet_scale.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import logging
-from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
@@ -12,12 +10,8 @@
 from cypressbeam.cli import main
 from lab import growth, plots, scale
 
-
-@pytest.fixture(autouse=True)
-def loud() -> Iterator[None]:
-    """Commands that play simulated trouble turn the log off; what comes after them must not miss it."""
-    yield
-    logging.disable(logging.NOTSET)
+#: Commands that play simulated trouble turn the log off; what comes after them must not miss it.
+pytestmark = pytest.mark.usefixtures("quiet")
 
 
 def test_no_cost_grows_faster_than_the_fleet() -> None:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -15,14 +14,9 @@
 from lab.membership import Cluster
 from lab.simulation import Host, Net
 
-PORT = 7620
-
+pytestmark = pytest.mark.usefixtures("quiet")
 
-@pytest.fixture(autouse=True)
-def quiet() -> Iterator[None]:
-    logging.disable(logging.CRITICAL)
-    yield
-    logging.disable(logging.NOTSET)
+PORT = 7620
 
 
 def on(host: Host, what: Callable[..., Any], *args: Any) -> Any:
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import logging
-from collections.abc import Iterator
-
 import msgspec
 import pytest
 
@@ -14,14 +11,9 @@
 from lab.emulator import World
 from pepperrelay.balancer import TRIAL_US, Balancer
 
-LISTED = 40
-
+pytestmark = pytest.mark.usefixtures("quiet")
 
-@pytest.fixture(autouse=True)
-def quiet() -> Iterator[None]:
-    logging.disable(logging.CRITICAL)
-    yield
-    logging.disable(logging.NOTSET)
+LISTED = 40
 
 
 def test_two_nodes_of_a_zone_make_a_verdict_for_it_once_in_a_rest() -> None:
