Say in one table whether an attempt may have run, and hold every final answer to it

Cause: what the end of an attempt says of its request was spread over upstream, dialects and gate.

Ruled out: the same id twice on one connection (a request goes to a server once); an answer to the next request after a time-out.

Change: mallowworks/attempts.py has the table as one function, docs/design/attempts.md has it in words, and a test holds one against the other.

Tests that changed: test_broken_before_the_last_byte_was_written_never_ran wanted CONNECT_FAILED for a half-written request.

--- a/cypressbeam/cli.py
+++ b/cypressbeam/cli.py
@@ -197,6 +197,31 @@
     sys.exit(0 if passed else 3)
 
 
+@lab.command()
+@click.option("--seeds", default=2000, show_default=True, help="How many storms.")
+@click.option("--first", default=0, show_default=True, help="The first seed.")
+@click.option("--jobs", default=8, show_default=True, help="Processes at once.")
+@click.option("--fault", help="Leave out a rule, by its name, or `all` one after another: each must be found.")
+def attempts(seeds: int, first: int, jobs: int, fault: str | None) -> None:
+    """All states of an attempt at a request, and storms of servers that do their worst (docs/design/attempts.md).
+
+    Exit code 3 if something does not hold; with --fault, if nothing is found.
+    """
+    from lab import attempts as worst
+
+    quiet()
+    passed = True
+    for name in list(worst.FAULTS) if fault == "all" else [fault or ""]:
+        with worst.fault(name):
+            state = worst.search_states()
+        found = hunt(worst.search_with, name, range(first, first + seeds), jobs)
+        told = f"state {state[0]}: {state[1]}" if state is not None else "all states as they should be"
+        storms = f"storm {found[0]}: {found[1]}" if found is not None else f"{seeds} storms, nothing found"
+        click.echo(f"{name or 'the rules as they are'}: {told}; {storms}")
+        passed = passed and (state is not None) == bool(name) and (found is None or bool(name))
+    sys.exit(0 if passed else 3)
+
+
 @lab.command()
 @click.option("--seeds", default=200, show_default=True, help="How many histories.")
 @click.option("--first", default=0, show_default=True, help="The first seed.")
--- a/cypressbeam/gate.py
+++ b/cypressbeam/gate.py
@@ -10,9 +10,10 @@
 from cypressbeam.configuration import Channel, Configuration, Constraints
 from cypressbeam.routing import Route, Table, kind_of
 from cypressbeam.settings import Envelope, Settings
+from mallowworks.attempts import PROMISES
 from mallowworks.carrier import ANSWER_MARGIN_US, Carrier, Desk, Request
 from mallowworks.config import CLIENT_SHARE
-from mallowworks.dialect import GATE, PROMISES
+from mallowworks.dialect import GATE
 from mallowworks.frontend import ClientConnection
 from mallowworks.http import Answer, Limits
 from mallowworks.messages import BadRequest, Message, gather, pass_on
@@ -220,7 +221,8 @@
                                     crossing=self.sizes.crossing(route.kind, len(message.body)))
         connection.request = ident
         self.take(Request(self.desks[service], arrived, pass_on(message, named, GATE), message.body,
-                          connection.respond, no_body=message.method == b"HEAD"))
+                          connection.respond, MODES[route.channel.mode] is it.Repeat.SAFE,
+                          no_body=message.method == b"HEAD"))
         return None
 
     def give_up_at(self, message: Message, found: dict[bytes, bytes], route: Route) -> int:
--- /dev/null
+++ b/lab/attempts.py
@@ -0,0 +1,553 @@
+"""All states of an attempt with all that may end it, walked in full, and storms of chance: the real gate, in memory.
+
+What must hold is said once more here, apart from the code's own table (docs/design/attempts.md). Faults are seeded on
+purpose, and each has to be found.
+"""
+
+from __future__ import annotations
+
+import itertools
+import logging
+import random
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, replace
+from typing import Any
+
+from cypressbeam import gate, listing
+from lab.worst import SOON_S, TO_THE_END_S, Asked, Broken, Sending, World, answer, hold, play
+from mallowworks import attempts, carrier, dialect, upstream
+from mallowworks.attempts import Cause, Outcome, Reply, Sent
+from mallowworks.carrier import Carrier, Request
+from mallowworks.http import Answer, ResponseReader
+
+Patch = Callable[[Any, str, Any], None]
+#: What is done, to which of those there are, and how.
+Step = tuple[str, int, int]
+
+# -- all states, walked in full --------------------------------------------------------------------------------
+
+#: How much of an answer has come when the event does.
+PROGRESS = ("none", "interim", "part head", "head", "part body")
+
+
+@dataclass(frozen=True)
+class State:
+    kind: str
+    origin: str
+    sent: Sent
+    progress: str
+    event: str
+
+
+@dataclass(frozen=True)
+class Expected:
+    may_have_run: bool
+    pooled: bool
+    statuses: tuple[int, ...]
+    """What its client may get at last; none: nothing."""
+
+
+def reply_to(event: str, sending: Sending) -> bytes:
+    """The answer that the server is about, by the event that is to end it."""
+    if event in REPLIES:
+        status, more = REPLIES[event]
+        return answer(sending, status, more)
+    return answer(sending, chunked=event == "chunked")
+
+
+PROOF = "Not-Executed: 1\r\n"
+REPLIES = {"misdirected": (421, ""), "not executed": (503, PROOF), "turned away": (429, PROOF), "503": (503, ""),
+           "429": (429, ""), "408": (408, ""), "500": (500, ""), "504": (504, ""), "204": (204, ""),
+           "last": (200, "Connection: close\r\n")}
+#: What makes of a stream, at any place, no answer to this request.
+SPOILS: dict[str, Callable[[Sending], bytes]] = {
+    "garbage": lambda sending: b"\x00\xff nonsense \x00\r\n\r\n",
+    "no name": lambda sending: b"HTTP/1.1 200 X\r\nServer-Seal: a\r\nContent-Length: 1\r\n\r\nx",
+    "two names": lambda sending: answer(sending, more=f"Attempt-Id: {sending.ident}\r\n"),
+    "two framings": lambda sending: answer(sending, more="Transfer-Encoding: chunked\r\n"),
+    "two lengths": lambda sending: answer(sending, more="Content-Length: 1\r\n"),
+    "large head": lambda sending: answer(sending, more=f"X: {'y' * 20_000}\r\n"),
+    "another's last": lambda sending: answer(sending, more="Connection: close\r\n", ident="other"),
+    "upgrade": lambda sending: b"HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"}
+ANSWERS = ("ok", "chunked", "surplus", "part of a surplus", "late surplus", "another's before", *REPLIES)
+ENDS = ("close", "reset", "silence", "drain", "restart", "stop", "client gone")
+UNSENT = ("refused", "silence", "drain", "stop", "client gone", "closed", "spoken")
+
+
+#: A 204 is whole with its head, and garbage within a body of a given length can't be told.
+UNLIKE = {("204", "head"), ("204", "part body"), ("garbage", "head"), ("garbage", "part body")}
+
+
+def states() -> Iterator[State]:
+    for kind, event in itertools.product(("read", "book"), UNSENT):
+        yield State(kind, "connecting", Sent.NOTHING, "none", event)
+    for kind, origin, sent, progress in itertools.product(("read", "book"), ("fresh", "reused"),
+                                                          (Sent.PART, Sent.WHOLE), PROGRESS):
+        if kind == "read" and sent is Sent.PART:
+            continue  # has no body: it is never that long
+        whole = [event for event in ANSWERS if progress in ("none", "interim") or event != "another's before"]
+        spoils = [event for event in SPOILS if progress == "none" or event == "garbage"]
+        for event in (*whole, *spoils, *ENDS):
+            if (event, progress) not in UNLIKE:
+                yield State(kind, origin, sent, progress, event)
+
+
+def expected(state: State) -> Expected:
+    """Said once more and apart, from the rules' words."""
+    event, again = state.event, state.kind == "read"
+    if state.event == "client gone":
+        return Expected(state.sent is not Sent.NOTHING, False, ())
+    if state.sent is Sent.NOTHING:
+        return Expected(False, False, {"silence": (503,), "stop": (503, 504)}.get(event, (200,)))
+    if event in ("misdirected", "not executed", "turned away"):
+        return Expected(False, state.sent is Sent.WHOLE and event != "misdirected", (200,))
+    if event in ANSWERS:
+        status = REPLIES.get(event, (200,))[0]
+        clean = state.sent is Sent.WHOLE and event not in ("last", "surplus", "part of a surplus", "late surplus")
+        if status >= 400 and again:
+            return Expected(True, clean, (200,))
+        return Expected(True, clean, (502 if status in (503, 429, 408) else status,))
+    if event == "drain":  # what is out goes on, and nothing new comes behind it
+        return Expected(True, False, (200,))
+    if event in ("silence", "stop"):
+        return Expected(True, False, (503, 504) if again else (504,))
+    return Expected(True, False, (200,) if again else (502,))
+
+
+class Walk:
+    """One state in a world of its own: brought about, ended, and looked at."""
+
+    def __init__(self, world: World, state: State) -> None:
+        self.world, self.state = world, state
+
+    async def reach(self) -> Sending | None:
+        """The request under way, and as much of its answer there as the state says."""
+        world, state = self.world, self.state
+        self.client = world.client()
+        if state.origin == "reused":
+            for ident in world.states:  # all have a connection that has been used
+                self.client.ask(Asked(f"first {ident}".replace(" ", "-"), "read"))
+                await world.settle()
+                serve(world, world.fresh.pop())
+                await world.settle()
+        room = 30.0 if state.sent is Sent.PART else float("inf")
+        world.room = room
+        for wire in world.wires:
+            wire.room = room
+        world.at_once = state.origin != "connecting"
+        self.client.ask(Asked("r", state.kind))
+        await world.settle()
+        if state.sent is Sent.NOTHING:
+            self.attempt = world.gate.requests["r"].attempts[0]
+            return None
+        sending = world.fresh.pop()
+        self.attempt = sending.attempt
+        world.room = float("inf")  # for the others
+        whole = reply_to(state.event, sending)
+        head = whole.index(b"\r\n\r\n") + 4
+        upto = {"none": 0, "interim": 0, "part head": head // 2, "head": head, "part body": head + 4}[state.progress]
+        if state.progress == "interim":
+            sending.wire.feed(b"HTTP/1.1 103 X\r\nLink: a\r\n\r\n")
+        if upto:
+            sending.wire.feed(whole[:upto])
+        self.rest = whole[upto:]
+        return sending
+
+    def finish(self, sending: Sending) -> None:
+        """The rest of the answer, with what the event puts around it."""
+        event, rest = self.state.event, self.rest
+        if event in ("misdirected", "not executed", "turned away"):
+            sending.proven = True
+        if event not in REPLIES or event == "204" or event == "last":
+            note(self.world, sending, b"" if event == "204" else sending.told("200"))
+        other = answer(sending, ident="other", body=b"other")
+        extra = {"surplus": other, "part of a surplus": other[:40]}.get(event, b"")
+        sending.wire.feed((other if event == "another's before" else b"") + rest + extra)
+        if event == "late surplus":
+            sending.wire.feed(other)
+
+    async def strike(self, sending: Sending | None) -> None:
+        world, event = self.world, self.state.event
+        if sending is not None and (event in ANSWERS):
+            self.finish(sending)
+        elif sending is not None and event in SPOILS:
+            sending.wire.feed(SPOILS[event](sending))
+        elif event in ("close", "reset") and sending is not None:
+            sending.wire.lose(ConnectionResetError() if event == "reset" else None)
+        elif event in ("drain", "restart"):
+            world.states[self.attempt.server] = listing.DRAINING
+            if event == "restart":
+                world.gate.upstream.place(self.attempt.server, ("10.9.0.1", 8000 + int(self.attempt.server[1:])),
+                                          world.gate.now_us() + 1, True)
+                world.gate.upstream.end_stale()
+            else:
+                world.tell()
+                await world.settle()
+                if sending is not None:
+                    self.finish(sending)
+                else:
+                    self.come_up()
+        elif event == "stop":
+            world.gate.time_is_up(world.gate.requests["r"])
+        elif event == "client gone":
+            self.client.leave()
+        elif event == "refused":
+            world.connects.pop().set_exception(ConnectionRefusedError())
+            world.at_once = True
+        elif event in ("closed", "spoken"):
+            self.come_up()
+
+    def come_up(self) -> None:
+        self.world.at_once = True
+        self.world.connects.pop().set_result(None)
+
+    async def run(self) -> None:
+        world, state = self.world, self.state
+        wanted = expected(state)
+        if state.event in ("closed", "spoken"):
+            spoil_first_wire(world, state.event)
+        sending = await self.reach()
+        await self.strike(sending)
+        await world.settle()
+        if state.event == "silence":
+            await world.settle(TO_THE_END_S)
+        self.look(sending, wanted)
+        world.at_once = True
+        for _ in range(3):  # whoever is asked next answers at once; nobody may be asked who must not be
+            await world.settle(SOON_S)
+            while world.fresh:
+                serve(world, world.fresh.pop())
+        await world.settle(SOON_S)
+        answers = [] if self.client.gone else self.client.answers()
+        last = answers[-1][0] if len(answers) == len(self.client.asked) else None
+        hold(last in wanted.statuses if wanted.statuses else self.client.gone, f"the client got {last}: {state}")
+        await self.ask_next(sending)
+        world.check()
+        world.check_all_answered()
+
+    async def ask_next(self, sending: Sending | None) -> None:
+        """The next request of the same client, while the first one's server says late what it had to say."""
+        if self.client.gone or self.client.wire.closing:
+            return
+        self.client.ask(Asked("next", "read"))
+        await self.world.settle()
+        if sending is not None:
+            sending.wire.feed(self.rest)
+        for _ in range(3):
+            while self.world.fresh:
+                serve(self.world, self.world.fresh.pop())
+            await self.world.settle(SOON_S)
+        status, headers, _ = self.client.answers()[-1]
+        hold((status, headers.get(b"attempt-id")) == (200, b"next"), f"MIXED: the next got {status}: {self.state}")
+
+    def look(self, sending: Sending | None, wanted: Expected) -> None:
+        if self.state.event == "drain" and sending is None:
+            return
+        hold(self.attempt.ended and self.attempt.may_have_run == wanted.may_have_run, f"may have run: {self.state}")
+        if sending is not None:
+            hold(self.world.pooled(sending.wire) == wanted.pooled, f"kept or not: {self.state}")
+            hold(wanted.pooled or sending.wire.closing, f"neither kept nor closed: {self.state}")
+
+
+def spoil_first_wire(world: World, how: str) -> None:
+    """The first connection is closed, or speaks, as it comes up."""
+    gate_connect = world.connect
+
+    async def connect(factory: Any, port: int) -> Any:
+        made = await gate_connect(factory, port)
+        if len(world.wires) == 1:
+            made[0].inbox.append(None if how == "closed" else b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
+        return made
+    world.connect = connect  # type: ignore[method-assign,assignment]
+
+
+def note(world: World, sending: Sending, body: bytes) -> None:
+    world.successes.setdefault(sending.ident, []).append(body)
+
+
+def serve(world: World, sending: Sending) -> None:
+    note(world, sending, sending.told("200"))
+    sending.wire.drain()
+    sending.wire.feed(answer(sending))
+
+
+def walk(state: State) -> None:
+    async def scenario(world: World) -> None:
+        await Walk(world, state).run()
+    play(scenario)
+
+
+# -- by chance -------------------------------------------------------------------------------------------------
+
+FORMS = [(200, "", False), (200, "", True), (200, "Connection: close\r\n", False), (204, "", False),
+         *[(*reply, False) for reply in REPLIES.values()]]
+
+
+class Storm:
+    """Clients, servers and the list do what is drawn, one thing after another."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.clients = [world.client() for _ in range(3)]
+        self.asked = 0
+        self.replies: dict[Sending, bytes] = {}
+        self.rests: dict[Sending, bytes] = {}
+        """What has still to come of an answer that was begun."""
+
+    # What clients do.
+
+    def ask(self, which: int, how: int) -> None:
+        client = self.clients[which % 3]
+        if len(client.asked) - len(client.answers()) < 3:
+            self.asked += 1
+            kind, method = [("book", ""), ("read", ""), ("book", ""), ("read", "HEAD")][how % 4]
+            client.ask(*[Asked(f"r{self.asked}-{n}", kind, method) for n in range(1 + (how % 5 == 0))])
+
+    def leave(self, which: int, how: int) -> None:
+        if how % 4 == 0 and not self.clients[which % 3].gone:
+            self.clients[which % 3].leave()
+            self.clients[which % 3] = self.world.client()
+
+    # What servers do.
+
+    def whole(self, which: int, how: int) -> None:
+        """An answer, or the rest of one."""
+        if self.world.fresh:
+            self.say(self.world.fresh[which % len(self.world.fresh)], how, 1 << 20)
+
+    def part(self, which: int, how: int) -> None:
+        if self.world.fresh:
+            self.say(self.world.fresh[which % len(self.world.fresh)], how, 1 + how % 90)
+
+    def say(self, sending: Sending, how: int, size: int) -> None:
+        if sending not in self.rests:
+            self.rests[sending] = self.replies[sending] = self.reply(sending, *FORMS[how % len(FORMS)])
+        data, rest = self.rests[sending][:size], self.rests[sending][size:]
+        self.rests[sending] = rest
+        if not rest:
+            self.world.fresh.remove(sending)
+            sending.proven = sending.refuses and not sending.wire.closing
+        sending.wire.feed(data)
+
+    def reply(self, sending: Sending, status: int, more: str, chunked: bool) -> bytes:
+        data = answer(sending, status, more, chunked=chunked)
+        sending.refuses = status == 421 or "Not-Executed" in more
+        if self.method(sending) == "HEAD":
+            data = data[:data.index(b"\r\n\r\n") + 4]
+        if status < 300:
+            note(self.world, sending, b"" if status == 204 else sending.told(str(status)))
+        return data
+
+    def method(self, sending: Sending) -> str:
+        return next(asked.method for client in self.world.clients for asked in client.asked
+                    if asked.ident == sending.ident)
+
+    def again(self, which: int, how: int) -> None:
+        """An answer that was given comes again, whole or cut short, on any connection to its server that is between
+        answers: nobody could tell what is put into the middle of one."""
+        begun = {sending.wire for sending, rest in self.rests.items() if rest}
+        told = [sending for sending, rest in self.rests.items() if not rest]
+        if told:
+            sending = told[which % len(told)]
+            wires = [wire for wire in self.world.wires
+                     if wire.protocol.server == sending.server and not wire.closing and wire not in begun]
+            data = self.replies[sending]
+            if wires:
+                wires[how % len(wires)].feed(data if how % 3 else data[:how % len(data)])
+
+    def spoil(self, which: int, how: int) -> None:
+        if self.world.fresh:
+            sending = self.world.fresh[which % len(self.world.fresh)]
+            sending.wire.feed([*SPOILS.values()][how % len(SPOILS)](sending))
+
+    def unread(self, which: int, how: int) -> None:
+        """Come, but not read before a connection is taken again: an answer, a part of one, or a close."""
+        if self.world.wires:
+            wire = self.world.wires[which % len(self.world.wires)]
+            told = [self.replies[sending] for sending, rest in self.rests.items() if not rest]
+            data = [*told, b"x"][how % (len(told) + 1)]
+            wire.inbox.append(None if how % 3 == 0 else data)
+
+    def lose(self, which: int, how: int) -> None:
+        begun = [sending.wire for sending, rest in self.rests.items() if rest]
+        wires = begun if begun and how % 3 else self.world.wires
+        if wires:
+            wires[which % len(wires)].lose(ConnectionResetError() if how % 2 else None)
+
+    def drain(self, which: int, how: int) -> None:
+        if self.world.wires:
+            self.world.wires[which % len(self.world.wires)].drain()
+
+    def room(self, which: int, how: int) -> None:
+        self.world.room = [float("inf"), 30.0, 0.0][how % 3]
+        for wire in self.world.wires[which % 4::4]:
+            wire.room = self.world.room
+
+    def connect(self, which: int, how: int) -> None:
+        self.world.at_once = how % 3 != 0
+        for coming in self.world.connects[:1 + which % 3]:
+            if not coming.done():
+                coming.set_exception(ConnectionRefusedError()) if how % 4 == 0 else coming.set_result(None)
+        del self.world.connects[:1 + which % 3]
+
+    # What the platform and time do.
+
+    def tell(self, which: int, how: int) -> None:
+        self.world.states[f"s{which % 4}"] = listing.DRAINING if how % 2 else listing.IN_SERVICE
+        self.world.tell()
+
+    async def wait(self, how: int) -> None:
+        for wire in self.world.wires:
+            wire.read()
+        await self.world.settle([0.0, 0.0, 0.0, 0.02, 0.05, 0.3, TO_THE_END_S][how % 7])
+
+    async def run(self, steps: list[Step]) -> None:
+        for what, which, how in steps:
+            getattr(self, what)(which, how)
+            await self.wait(how // 7)
+        for coming in self.world.connects:
+            if not coming.done():
+                coming.set_result(None)
+        await self.world.settle(TO_THE_END_S)
+        await self.world.settle(TO_THE_END_S)  # of those that were sent ahead and taken up when the first had timed out
+        await self.world.settle(TO_THE_END_S)
+        self.world.check()
+        self.world.check_all_answered()
+
+
+#: What is likelier is there more than once.
+STEPS = ["ask", "ask", "ask", "whole", "whole", "whole", "part", "part", "again", "again", "spoil", "unread", "lose",
+         "drain", "room", "connect", "tell", "leave"]
+def storm(taken: list[Step]) -> None:
+    async def scenario(world: World) -> None:
+        await Storm(world).run(taken)
+    play(scenario)
+
+
+# -- faults seeded on purpose ----------------------------------------------------------------------------------
+
+def compare_no_names(patch: Patch) -> None:
+    """The next whole answer is taken for the one that is waited for."""
+    patch(ResponseReader, "check_name", lambda self, names: None)
+
+
+def leave_bytes_behind(patch: Patch) -> None:
+    """A connection with bytes behind its last answer goes back to the pool."""
+    end = upstream.ServerConnection.end
+
+    def keep(self: upstream.ServerConnection, cause: Cause, answer: Answer | None = None) -> None:
+        self.reader.keep_alive = True
+        end(self, cause, answer)
+    patch(upstream.ServerConnection, "end", keep)
+
+
+def take_part_for_nothing(patch: Patch) -> None:
+    """A request of which a part was written counts as one that never left."""
+    known = attempts.outcome
+
+    def told(sent: Sent, cause: Cause, reply: Reply | None = None) -> Outcome:
+        return known(Sent.NOTHING if sent is Sent.PART and reply is None else sent, cause, reply)
+    patch(upstream, "outcome", told)
+
+
+def take_a_close_for_a_refusal(patch: Patch) -> None:
+    known = attempts.outcome
+
+    def told(sent: Sent, cause: Cause, reply: Reply | None = None) -> Outcome:
+        return attempts.UNSENT if cause is Cause.CLOSED else known(sent, cause, reply)
+    patch(upstream, "outcome", told)
+
+
+def believe_any_503(patch: Patch) -> None:
+    def judge(answer: Answer) -> Reply:
+        return Reply.NOT_EXECUTED if answer.status == 503 else dialect.judge_gate(answer)
+    patch(gate, "GATE", replace(dialect.GATE, judge=judge))
+
+
+def take_what_has_come(patch: Patch) -> None:
+    """An answer that a close cuts short goes to the client as if it were whole."""
+    def connection_lost(self: upstream.ServerConnection, exc: Exception | None) -> None:
+        self.closed = True
+        self.upstream.drop(self)
+        if self.attempt is not None:
+            parser, found = self.reader.parser, self.reader
+            if found.headers_done and parser is not None:
+                self.end(Cause.ANSWERED, Answer(parser.get_status_code(), found.headers, bytes(found.body)))
+            else:
+                self.end(Cause.CLOSED)
+    patch(upstream.ServerConnection, "connection_lost", connection_lost)
+
+
+def answer_twice(patch: Patch) -> None:
+    """A time-out leaves the attempt, and what comes then is written to whoever waits on that connection."""
+    time_is_up = Carrier.time_is_up
+
+    def told(self: Carrier, request: Request) -> None:
+        if request.timer is not None and not request.finished:
+            request.respond(Answer(504))
+            request.timer = self.loop.call_later(SOON_S * 4, time_is_up, self, request)
+    patch(Carrier, "time_is_up", told)
+
+
+def promise_at_the_end(patch: Patch) -> None:
+    """Whoever fails is told to come again."""
+    patch(Carrier, "failure", lambda self, request: Answer(503))
+    patch(gate.Gate, "failure", lambda self, request: Answer(503))
+    patch(carrier, "may_tell", lambda *_: True)
+
+
+FAULTS: dict[str, Callable[[Patch], None]] = {
+    "compare-no-names": compare_no_names, "leave-bytes-behind": leave_bytes_behind,
+    "take-a-part-for-nothing": take_part_for_nothing, "take-a-close-for-a-refusal": take_a_close_for_a_refusal,
+    "believe-any-503": believe_any_503, "take-what-has-come": take_what_has_come, "answer-twice": answer_twice,
+    "promise-at-the-end": promise_at_the_end}
+
+
+@contextmanager
+def fault(name: str) -> Iterator[None]:
+    """While a rule is left out."""
+    patched: list[tuple[Any, str, Any]] = []
+
+    def patch(where: Any, what: str, new: Any) -> None:
+        patched.append((where, what, getattr(where, what)))
+        setattr(where, what, new)
+    if name:
+        FAULTS[name](patch)
+    try:
+        yield
+    finally:
+        for where, what, old in reversed(patched):
+            setattr(where, what, old)
+
+
+# -- looking for what does not hold ----------------------------------------------------------------------------
+
+def draw(seed: int) -> list[Step]:
+    chance = random.Random(f"storm {seed}")
+    return [(chance.choice(STEPS), chance.randrange(8), chance.randrange(1001)) for _ in range(chance.randrange(5, 60))]
+
+
+def search_states() -> tuple[int, str] | None:
+    """The first of all states, in a fixed order of chance, that is not as it should be: its number, and what it is."""
+    order = list(states())
+    random.Random(1).shuffle(order)
+    for number, state in enumerate(order, 1):
+        try:
+            walk(state)
+        except Broken as err:
+            return number, str(err)
+    return None
+
+
+def search_with(job: tuple[str, range]) -> tuple[int, str] | None:
+    """The first seed whose storm breaks a rule, and which, with a fault by name or none."""
+    name, seeds = job
+    logging.disable(logging.CRITICAL)
+    with fault(name):
+        for seed in seeds:
+            try:
+                storm(draw(seed))
+            except Broken as err:
+                return seed, str(err)
+    return None
--- /dev/null
+++ b/mallowworks/attempts.py
@@ -0,0 +1,96 @@
+"""What is known of a request once an attempt at it has ended: whether its server may have run it, or may run it yet.
+
+This is the one table of docs/design/attempts.md. It takes no account of chance: what can't be proven may have happened.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+from pepperrelay.interface import Ending, Group, Repeat, RequestClass
+
+#: Statuses that promise: the request has not run and never will (PROTOCOL.md, Answers).
+PROMISES = frozenset({408, 421, 429, 503})
+
+
+class Sent(Enum):
+    """How much of a request its connection was given. What was given may have left, whatever breaks later: that the
+    system holds it back is known of the part that was not taken off, not of the rest."""
+
+    NOTHING = "nothing"
+    PART = "part"
+    WHOLE = "whole"
+
+
+class Cause(Enum):
+    """What ended an attempt."""
+
+    NO_CONNECTION = "no connection"
+    """Refused, not up in time, no room for it, or not to be used once it was up."""
+    ANSWERED = "answered"
+    """A whole answer to this very request, by its name where answers have one."""
+    CLOSED = "closed"
+    """The server closed or reset the connection before that."""
+    MALFORMED = "malformed"
+    """Bytes that are no answer, that are too many, or that can't be told to belong to this request."""
+    TIMED_OUT = "timed out"
+    CANCELLED = "cancelled"
+    """From this side: the client has left, or an error of this program's own."""
+    SERVER_GONE = "server gone"
+    """The list tells that the process which had it is no more."""
+
+
+class Reply(Enum):
+    """What a whole answer says of its request."""
+
+    SUCCESS = "success"
+    FAILURE = "failure"
+    """Also a status that promises, where the server gives no proof."""
+    NOT_EXECUTED = "not executed"
+    """With the server's proof that it has not run it and will not."""
+    MISDIRECTED = "misdirected"
+    """By another server than was meant, which has not run it either."""
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What becomes of an attempt."""
+
+    ending: Ending
+    may_have_run: bool
+    """Or may run yet. False: it has not and never will."""
+    reusable: bool = False
+    """The connection may carry another request, if its framing allows."""
+
+
+UNSENT = Outcome(Ending.CONNECT_FAILED, may_have_run=False)
+UNSENT_CANCELLED = Outcome(Ending.CANCELLED, may_have_run=False)
+BROKEN = {cause: Outcome(ending, may_have_run=True) for cause, ending in (
+    (Cause.CLOSED, Ending.RESET), (Cause.MALFORMED, Ending.RESET), (Cause.SERVER_GONE, Ending.RESET),
+    (Cause.TIMED_OUT, Ending.TIMEOUT), (Cause.CANCELLED, Ending.CANCELLED))}
+REPLIES = {Reply.SUCCESS: (Ending.OK, True), Reply.FAILURE: (Ending.ERROR, True),
+           Reply.NOT_EXECUTED: (Ending.FULL, False), Reply.MISDIRECTED: (Ending.CONNECT_FAILED, False)}
+ANSWERED = {(sent, reply): Outcome(*known, reusable=sent is Sent.WHOLE and reply is not Reply.MISDIRECTED)
+            for sent in (Sent.PART, Sent.WHOLE) for reply, known in REPLIES.items()}
+
+
+def outcome(sent: Sent, cause: Cause, reply: Reply | None = None) -> Outcome:
+    """The table. An answer (`reply`) goes with Cause.ANSWERED alone. Raises KeyError for what can't be."""
+    if sent is Sent.NOTHING:
+        return UNSENT_CANCELLED if cause is Cause.CANCELLED else UNSENT
+    if cause is Cause.ANSWERED and reply is not None:
+        return ANSWERED[sent, reply]
+    return BROKEN[cause]
+
+
+def repeatable(kind: RequestClass) -> bool:
+    """Whether a client may send a request of this class again though it may have run."""
+    return kind.repeat is Repeat.SAFE or (kind.repeat is Repeat.KEYED and kind.group is Group.ALL)
+
+
+def may_tell(status: int, is_repeatable: bool, may_have_run: Iterable[bool]) -> bool:
+    """Whether a status may be the final answer to a request with such attempts: a promise only where all are known
+    not to have run, or where a repeat does no harm."""
+    return status not in PROMISES or is_repeatable or not any(may_have_run)
--- a/mallowworks/carrier.py
+++ b/mallowworks/carrier.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from mallowworks.attempts import Cause, may_tell
 from mallowworks.dialect import Dialect
 from mallowworks.http import MOST_ANSWER, Answer
 from mallowworks.upstream import Attempt, Upstream
@@ -87,6 +88,8 @@
     """Request line and headers as they go to any server, without the blank line."""
     body: bytes
     respond: Callable[[Answer], None]
+    repeatable: bool = False
+    """Its client may send it again though it may have run."""
     no_body: bool = False
     """Its answer has none (HEAD)."""
     attempts: list[Attempt] = field(default_factory=list)
@@ -139,7 +142,7 @@
         request = self.requests.get(getattr(about, "request", ""))
         if request is not None:
             self.finish(request, Answer(500))
-            self.stop_attempts(request, it.Ending.CANCELLED)
+            self.stop_attempts(request, Cause.CANCELLED)
 
     # -- requests ----------------------------------------------------------------------------------------
 
@@ -163,7 +166,7 @@
 
     def time_is_up(self, request: Request) -> None:
         """The client is about to give up: attempts still out have timed out, and what is owed is given."""
-        self.stop_attempts(request, it.Ending.TIMEOUT)
+        self.stop_attempts(request, Cause.TIMED_OUT)
         if not request.finished:
             log.warning("request %s was left without an answer", request.arrived.request)
             self.finish(request, Answer(504))
@@ -171,9 +174,13 @@
 
     def finish(self, request: Request, answer: Answer) -> None:
         """The one place where a final answer goes to a client; the first one stands."""
-        if not request.finished:
-            self.close(request)
-            request.respond(answer)
+        if request.finished:
+            return
+        if not may_tell(answer.status, request.repeatable, (attempt.may_have_run for attempt in request.attempts)):
+            log.error("request %s may have run: %d would be a false promise", request.arrived.request, answer.status)
+            answer = Answer(502)
+        self.close(request)
+        request.respond(answer)
 
     def close(self, request: Request) -> None:
         request.finished = True
@@ -185,9 +192,9 @@
             request.timer.cancel()
         self.requests.pop(request.arrived.request, None)
 
-    def stop_attempts(self, request: Request, ending: it.Ending) -> None:
+    def stop_attempts(self, request: Request, cause: Cause) -> None:
         for attempt in request.attempts:
-            self.upstream.stop(attempt, ending)
+            self.upstream.stop(attempt, cause)
 
     def attempt_ended(self, attempt: Attempt, ending: it.Ending, answer: Answer | None,
                       report: it.Report | None) -> None:
@@ -226,7 +233,7 @@
         elif isinstance(action, it.Cancel):
             request = self.requests.get(action.request)
             if request is not None and action.attempt < len(request.attempts):
-                self.upstream.stop(request.attempts[action.attempt], it.Ending.CANCELLED)
+                self.upstream.stop(request.attempts[action.attempt], Cause.CANCELLED)
         elif isinstance(action, (it.Subscribe, it.FetchList)):
             self.list_wanted(whole=isinstance(action, it.FetchList))
         elif isinstance(action, it.Log):
@@ -249,8 +256,7 @@
         request.attempts.append(attempt)
         request.out += 1
         if wait_us < left_us:  # otherwise the request's own timer ends it
-            attempt.timer = self.loop.call_later(wait_us / 1e6, self.upstream.stop, attempt,
-                                                 it.Ending.TIMEOUT)
+            attempt.timer = self.loop.call_later(wait_us / 1e6, self.upstream.stop, attempt, Cause.TIMED_OUT)
         self.upstream.start(attempt)
 
     # -- upkeep ------------------------------------------------------------------------------------------
--- a/mallowworks/dialect.py
+++ b/mallowworks/dialect.py
@@ -9,15 +9,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from mallowworks.attempts import Reply
 from mallowworks.http import HOP_BY_HOP, Answer
-from pepperrelay.interface import Ending, Report
+from pepperrelay.interface import Report
 
 #: The names of load figures on sockets, with those that the settings use.
 LOAD_NAMES = {"queue": "queue", "backlog": "queue", "inflight": "in_flight", "outstanding": "in_flight",
               "util": "utilization", "utilization": "utilization", "latency_ms": "latency_ms",
               "recent_ms": "latency_ms"}
-#: These statuses promise that nothing ran: a server that does not prove it has its word not passed on.
-PROMISES = frozenset({408, 421, 429, 503})
 
 
 def read_report(text: bytes | None) -> Report | None:
@@ -48,23 +47,23 @@
     return Report(queue=float(waiting), in_flight=float(running), utilization=running / max(slots, 1))
 
 
-def judge_node(answer: Answer) -> Ending:
+def judge_node(answer: Answer) -> Reply:
     if answer.status == 200:
-        return Ending.OK
+        return Reply.SUCCESS
     if answer.status in (503, 504) and answer.header(b"not-started") == b"1":
-        return Ending.FULL
-    return Ending.ERROR
+        return Reply.NOT_EXECUTED
+    return Reply.FAILURE
 
 
-def judge_gate(answer: Answer) -> Ending:
+def judge_gate(answer: Answer) -> Reply:
     """421 is another server's word at this address: the one that was meant is not there."""
     if 200 <= answer.status < 300:
-        return Ending.OK
+        return Reply.SUCCESS
     if answer.status == 421:
-        return Ending.CONNECT_FAILED
+        return Reply.MISDIRECTED
     if answer.header(b"not-executed") is not None:
-        return Ending.FULL
-    return Ending.ERROR
+        return Reply.NOT_EXECUTED
+    return Reply.FAILURE
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,7 +81,7 @@
     """Headers of an answer that speak of the server or of its connection, not to the client."""
     load: bytes
     read_load: Callable[[bytes | None], Report | None]
-    judge: Callable[[Answer], Ending]
+    judge: Callable[[Answer], Reply]
     address: Callable[[int, str], bytes]
     """The lines that a server gets beside the client's: milliseconds left, and its own name."""
     names_answers: bool = False
--- a/mallowworks/frontend.py
+++ b/mallowworks/frontend.py
@@ -261,6 +261,8 @@
             return
         if message.body:
             self.reader.give_back(len(message.body))
+        if message.method == b"HEAD" and answer.body:  # a refusal of ours: its text would pass for the next answer
+            answer = Answer(answer.status, answer.headers, length=len(answer.body))
         close = self.closing or self.frontend.stopping or not message.keep_alive
         self.write(answer, close)
         if close:
--- a/mallowworks/messages.py
+++ b/mallowworks/messages.py
@@ -85,6 +85,8 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:  # not offered: the request is answered, what follows is not read
+            if self.messages:
+                self.messages[-1].keep_alive = False
             self.close()
         except httptools.HttpParserError as err:
             self.error = self.error or BadRequest(400, f"malformed request: {err}")
--- a/mallowworks/node.py
+++ b/mallowworks/node.py
@@ -4,6 +4,7 @@
 
 import logging
 
+from mallowworks.attempts import repeatable
 from mallowworks.carrier import ANSWER_MARGIN_US, Carrier, Desk, Request
 from mallowworks.config import Config
 from mallowworks.dialect import NODE
@@ -44,7 +45,8 @@
         if self.knows(arrived.request):
             raise BadRequest(400, f"Request-Id: {arrived.request} is still in hand")
         connection.request = arrived.request
-        self.take(Request(self.desk, arrived, head, message.body, connection.respond))
+        self.take(Request(self.desk, arrived, head, message.body, connection.respond,
+                          repeatable(self.kinds[arrived.class_name])))
         return None
 
     def take_list(self, news: ServerList, saved: bool = False) -> None:
--- a/mallowworks/upstream.py
+++ b/mallowworks/upstream.py
@@ -1,7 +1,7 @@
 """Connections to servers: the pool, attempts, and how each attempt ends.
 
-An attempt is written once, whole, on a connection of its own for that time. How far it got decides how it
-ends: before the last byte has gone it never ran; after that, whatever breaks, it may have.
+An attempt is written once, whole, on a connection of its own for that time. What its end says of the request is
+the table of `attempts`: before its connection got the first byte it never ran; after that, whatever breaks, it may.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 
 import httptools
 
+from mallowworks.attempts import Cause, Outcome, Sent, outcome
 from mallowworks.dialect import NODE, Dialect
 from mallowworks.discovery import Address
 from mallowworks.http import MOST_ANSWER, Answer, ResponseReader, keep_alive_s, readable
@@ -32,8 +33,8 @@
 class Attempt:
     """One sending of a request to one server."""
 
-    __slots__ = ("connecting", "connection", "ended", "message", "no_body", "number", "request", "sent_us",
-                 "server", "timer")
+    __slots__ = ("connecting", "connection", "ended", "may_have_run", "message", "no_body", "number", "request",
+                 "sent_us", "server", "timer")
 
     def __init__(self, request: str, number: int, server: str, message: bytes, sent_us: int,
                  no_body: bool = False) -> None:
@@ -44,6 +45,7 @@
         self.message = message
         self.sent_us = sent_us
         self.ended = False
+        self.may_have_run = True  # or may run yet, as far as is known
         self.connecting: asyncio.Task[None] | None = None
         self.connection: ServerConnection | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -90,7 +92,11 @@
     def quiet(self) -> bool:
         """Whether nothing has come since the last answer, neither bytes nor the server's close. What has come
         unread would pass for the answer to the next request."""
-        return not self.transport.is_closing() and not readable(self.transport)
+        return not self.closed and not self.transport.is_closing() and not readable(self.transport)
+
+    def sent(self) -> Sent:
+        """How much of the request on this connection it was given."""
+        return Sent.PART if self.unwritten else Sent.WHOLE
 
     def send(self, attempt: Attempt) -> None:
         self.attempt = attempt
@@ -108,7 +114,7 @@
             self.reader.feed(data)
         except (ValueError, httptools.HttpParserError) as err:
             log.warning("server %s: %s", self.server, err.__context__ or err)
-            self.end(Ending.RESET)
+            self.end(Cause.MALFORMED)
             return
         if self.reader.dropped > dropped:
             log.warning("server %s: an answer that belongs to no request is dropped", self.server)
@@ -117,18 +123,20 @@
             told_s = keep_alive_s(answer)
             if told_s is not None:
                 self.idle_s = told_s * TOLD_SHARE
-            self.end(self.upstream.dialect.judge(answer), answer)
+            self.end(Cause.ANSWERED, answer)
 
-    def end(self, ending: Ending, answer: Answer | None = None) -> None:
+    def end(self, cause: Cause, answer: Answer | None = None) -> None:
         """Take the attempt off; only a whole answer to a whole request leaves the connection fit for more."""
         attempt, self.attempt = self.attempt, None
-        reusable = answer is not None and self.reader.keep_alive and not self.unwritten
-        if reusable and not self.closed:
+        if attempt is None:
+            self.close()
+            return
+        known = outcome(self.sent(), cause, None if answer is None else self.upstream.dialect.judge(answer))
+        if known.reusable and self.reader.keep_alive and not self.closed:
             self.upstream.keep(self)
         else:
             self.close()
-        if attempt is not None:
-            self.upstream.end(attempt, ending, answer)
+        self.upstream.end(attempt, known, answer)
 
     def close(self) -> None:
         if not self.closed:
@@ -142,8 +150,7 @@
         self.reader.close()
         self.upstream.drop(self)
         if self.attempt is not None:
-            # Until the last byte has gone the server does not begin; after that it may have.
-            self.end(Ending.CONNECT_FAILED if self.unwritten else Ending.RESET)
+            self.end(Cause.CLOSED)
 
 
 class Upstream:
@@ -187,7 +194,7 @@
         any more. Connections opened since it started again belong to the new process."""
         stale, self.stale = self.stale, []
         for connection in stale:
-            connection.end(Ending.RESET)
+            connection.end(Cause.SERVER_GONE)
 
     def shut(self, server: str) -> None:
         """The server has left the list. What is out on its connections goes on; nothing else of it is kept,
@@ -205,7 +212,7 @@
     def start(self, attempt: Attempt) -> None:
         place = self.places.get(attempt.server)
         if place is None or not place.open_to_new:
-            self.end(attempt, Ending.CONNECT_FAILED)
+            self.end(attempt, outcome(Sent.NOTHING, Cause.NO_CONNECTION))
             return
         now_s = self.loop.time()
         while place.idle:
@@ -216,7 +223,7 @@
             connection.close()
         if not self.room():
             log.warning("server %s: no connection, all %d are in use", attempt.server, self.most)
-            self.end(attempt, Ending.CONNECT_FAILED)
+            self.end(attempt, outcome(Sent.NOTHING, Cause.NO_CONNECTION))
             return
         self.connecting += 1
         attempt.connecting = self.loop.create_task(self.connect(attempt, place.address))
@@ -240,15 +247,16 @@
                 _, connection = await self.loop.create_connection(
                     lambda: ServerConnection(self, attempt.server, opened_us), *address)
         except (OSError, TimeoutError):
-            self.end(attempt, Ending.CONNECT_FAILED)
+            self.end(attempt, outcome(Sent.NOTHING, Cause.NO_CONNECTION))
             return
         attempt.connecting = None
-        # While it came up the request may have ended, or the list told of a drain: nothing is written then.
-        if attempt.ended:
-            connection.close()
-        elif (place := self.places.get(attempt.server)) is None or not place.open_to_new:
+        # While it came up the request may have ended, the list told of a drain or of another address, or the server
+        # have closed it again, as one does that has too many: nothing is written then.
+        place = self.places.get(attempt.server)
+        if (attempt.ended or place is None or not place.open_to_new or place.address != address
+                or not connection.quiet()):
             connection.close()
-            self.end(attempt, Ending.CONNECT_FAILED)
+            self.end(attempt, outcome(Sent.NOTHING, Cause.NO_CONNECTION))
         else:
             connection.send(attempt)
 
@@ -257,28 +265,27 @@
         if not task.cancelled() and task.exception() is not None:
             log.error("connecting failed unexpectedly", exc_info=task.exception())
 
-    def stop(self, attempt: Attempt, ending: Ending) -> None:
+    def stop(self, attempt: Attempt, cause: Cause) -> None:
         """End an attempt from this side: its connection closes and nothing of it is written any more."""
         if attempt.ended:
             return
+        if attempt.connection is not None:
+            attempt.connection.end(cause)
+            return
         if attempt.connecting is not None:
             attempt.connecting.cancel()
-            if ending is Ending.TIMEOUT:  # nothing was written, so that much is known: it never ran
-                ending = Ending.CONNECT_FAILED
-        if attempt.connection is not None:
-            attempt.connection.attempt = None
-            attempt.connection.close()
-        self.end(attempt, ending)
+        self.end(attempt, outcome(Sent.NOTHING, cause))
 
-    def end(self, attempt: Attempt, ending: Ending, answer: Answer | None = None) -> None:
+    def end(self, attempt: Attempt, known: Outcome, answer: Answer | None = None) -> None:
         if attempt.ended:
             return
         attempt.ended = True
+        attempt.may_have_run = known.may_have_run
         attempt.connection = None
         if attempt.timer is not None:
             attempt.timer.cancel()
         report = None if answer is None else self.dialect.read_load(answer.header(self.dialect.load))
-        self.on_end(attempt, ending, answer, report)
+        self.on_end(attempt, known.ending, answer, report)
 
     # -- pool --------------------------------------------------------------------------------------------
 
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,103 @@
+"""Wrong caller, sent twice: the table of attempts, all states of an attempt with all that may end it, and chance."""
+
+from __future__ import annotations
+
+import itertools
+import re
+from pathlib import Path
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from cypressbeam.gate import Gate
+from lab.attempts import FAULTS, STEPS, State, Step, fault, search_states, search_with, states, storm, walk
+from mallowworks.attempts import Cause, Outcome, Reply, Sent, may_tell, outcome, repeatable
+from mallowworks.http import Answer
+from pepperrelay.interface import NEVER_RAN, Ending, Group, Repeat, RequestClass
+
+pytestmark = pytest.mark.usefixtures("quiet")
+
+# -- the table -------------------------------------------------------------------------------------------------
+
+PAGE = Path(__file__).parent.parent / "docs" / "design" / "attempts.md"
+ROWS = [(sent, cause, reply) for sent, cause, reply in itertools.product(Sent, Cause, [None, *Reply])
+        if (reply is not None) == (cause is Cause.ANSWERED)
+        and (sent is Sent.NOTHING or cause is not Cause.NO_CONNECTION)]
+
+
+@pytest.mark.parametrize(("sent", "cause", "reply"), ROWS)
+def test_only_proof_or_nothing_sent_says_that_a_request_did_not_run(sent: Sent, cause: Cause,
+                                                                    reply: Reply | None) -> None:
+    known = outcome(sent, cause, reply)
+    proven = reply in (Reply.NOT_EXECUTED, Reply.MISDIRECTED)
+    assert known.may_have_run is not (sent is Sent.NOTHING or proven)
+    assert known.ending not in NEVER_RAN or not known.may_have_run  # the decision module reads the ending alone
+    assert (known.ending is Ending.OK) == (reply is Reply.SUCCESS and sent is not Sent.NOTHING)
+    assert not known.reusable or (sent is Sent.WHOLE and cause is Cause.ANSWERED and reply is not Reply.MISDIRECTED)
+
+
+def test_what_cannot_be_is_no_row() -> None:
+    with pytest.raises(KeyError):
+        outcome(Sent.WHOLE, Cause.NO_CONNECTION)
+    with pytest.raises(KeyError):
+        outcome(Sent.WHOLE, Cause.ANSWERED)
+
+
+def test_the_page_says_what_the_code_does() -> None:
+    rows = re.findall(r"^\| (nothing|part|whole) \| ([a-z ]+?)(?:: ([a-z ]+))? \| (\w+) \| (yes|no) \| (yes|no) \|",
+                      PAGE.read_text(encoding="utf-8"), re.MULTILINE)
+    told = {(Sent(sent), Cause(cause), Reply(reply) if reply else None): Outcome(Ending(ending), ran == "yes",
+                                                                               again == "yes")
+            for sent, cause, reply, ending, ran, again in rows}
+    assert len(told) == len(rows) and told == {row: outcome(*row) for row in ROWS}
+
+
+def test_a_promise_is_given_only_where_none_may_have_run_or_a_repeat_does_no_harm() -> None:
+    for status in (408, 421, 429, 503):
+        assert may_tell(status, False, []) and may_tell(status, False, [False, False])
+        assert not may_tell(status, False, [False, True]) and may_tell(status, True, [True])
+    assert all(may_tell(status, False, [True]) for status in (200, 404, 500, 502, 504))
+    kinds = {(repeat, group): repeatable(RequestClass("k", repeat, 1, 1, group))
+             for repeat in Repeat for group in Group}
+    assert {key for key, may in kinds.items() if may} == {(Repeat.KEYED, Group.ALL),
+                                                         *((Repeat.SAFE, group) for group in Group)}
+
+
+# -- states, storms and faults of lab/attempts.py ----------------------------------------------------------------
+
+@pytest.mark.parametrize("sent", list(Sent))
+@pytest.mark.parametrize("kind", ["read", "book"])
+def test_every_state_of_an_attempt_with_every_end_is_as_the_table_says(kind: str, sent: Sent) -> None:
+    chosen = [state for state in states() if state.kind == kind and state.sent is sent]
+    assert chosen or (kind, sent) == ("read", Sent.PART)
+    for state in chosen:
+        walk(state)
+
+
+steps = st.lists(st.tuples(st.sampled_from(STEPS), st.integers(0, 7), st.integers(0, 1000)), min_size=5, max_size=40)
+
+
+@settings(max_examples=200, suppress_health_check=[HealthCheck.too_slow])
+@given(steps)
+def test_nobody_gets_what_is_anothers_and_nothing_runs_twice_whatever_servers_do(taken: list[Step]) -> None:
+    storm(taken)
+
+
+def test_a_false_promise_does_not_leave_the_gate(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Gate, "failure", lambda self, request: Answer(503))
+    for event in ("close", "garbage", "503"):
+        walk(State("book", "fresh", Sent.WHOLE, "none", event))
+
+
+@pytest.mark.parametrize("name", FAULTS)
+def test_the_walk_finds_each_fault_that_is_put_in(name: str) -> None:
+    with fault(name):
+        found = search_states()
+    assert found is not None and found[0] <= 60
+
+
+@pytest.mark.parametrize("name", [name for name in FAULTS if name != "take-what-has-come"])  # seed 917 finds that
+def test_storms_find_what_breaks_a_rule(name: str) -> None:
+    found = search_with((name, range(20)))
+    assert found is not None and re.match(r"TWICE|REFUSED|MIXED", found[1])
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -106,6 +106,31 @@
     run(scenario())
 
 
+def test_a_refusal_to_a_head_has_no_body_that_the_next_answer_would_begin_with() -> None:
+    async def scenario() -> None:
+        async with rig() as made:
+            client = await made.client()
+            client.raw(f"HEAD /read HTTP/1.1\r\n{GOOD}\r\n"
+                       f"GET /nothing HTTP/1.1\r\n{GOOD}Connection: close\r\n\r\n".encode())
+            first, second = (await client.ended()).split(b"HTTP/1.1 ")[1:]
+            assert first.startswith(b"405 ") and first.endswith(b"\r\n\r\n") and b"Content-Length: " in first
+            assert second.startswith(b"404 ")
+    run(scenario())
+
+
+def test_a_connection_on_which_an_upgrade_was_asked_for_is_closed_behind_the_answer() -> None:
+    """Nothing behind such a request is read: one that was sent there would get no answer."""
+    async def scenario() -> None:
+        async with rig() as made:
+            client = await made.client()
+            client.send(head="Connection: Upgrade\r\nUpgrade: h2c\r\n")
+            (await made.servers[0].next()).reply()
+            answer = await client.answer()
+            assert answer.status == 200 and answer.header(b"connection") == b"close"
+            assert await client.closed()
+    run(scenario())
+
+
 def test_requests_sent_ahead_are_answered_in_order() -> None:
     async def scenario() -> None:
         async with rig() as made:
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -26,6 +26,7 @@
 from cypressbeam.routing import Table
 from cypressbeam.settings import SettingsError, load, parse
 from lab.up import demo_configuration
+from mallowworks.attempts import Reply
 from mallowworks.dialect import judge_gate, read_load
 from mallowworks.http import Answer
 from pepperrelay.balancer import Balancer
@@ -293,11 +294,11 @@
 
 def test_only_proof_counts_as_not_run() -> None:
     proof = [(b"Not-Executed", b"1")]
-    assert judge_gate(Answer(201)) is pr.Ending.OK
-    assert judge_gate(Answer(503, proof)) is pr.Ending.FULL and judge_gate(Answer(429, proof)) is pr.Ending.FULL
-    assert judge_gate(Answer(421)) is pr.Ending.CONNECT_FAILED
+    assert judge_gate(Answer(201)) is Reply.SUCCESS
+    assert judge_gate(Answer(503, proof)) is Reply.NOT_EXECUTED and judge_gate(Answer(429, proof)) is Reply.NOT_EXECUTED
+    assert judge_gate(Answer(421)) is Reply.MISDIRECTED
     for status in (503, 429, 500, 504):
-        assert judge_gate(Answer(status)) is pr.Ending.ERROR
+        assert judge_gate(Answer(status)) is Reply.FAILURE
 
 
 def test_the_load_header() -> None:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -465,7 +465,7 @@
     run(scenario())
 
 
-def test_broken_before_the_last_byte_was_written_never_ran() -> None:
+def test_broken_once_a_part_was_written_may_have_run() -> None:
     async def scenario() -> None:
         server = StubServer()
         await server.start()
@@ -482,7 +482,7 @@
         while not any(connection.unwritten for connection in upstream.connections):
             await asyncio.sleep(0.001)
         peer.transport.abort()
-        assert await soon(ended.get()) is Ending.CONNECT_FAILED
+        assert await soon(ended.get()) is Ending.RESET
         upstream.close()
         server.stop()
     run(scenario())
