--- a/lab/operators.py
+++ b/lab/operators.py
@@ -18,12 +18,11 @@
 from cypressbeam import frames, taken
 from cypressbeam.agreement import Keeper
 from cypressbeam.chain import Action, Member, answer
+from lab.plans import Step, shape_of
 
 if TYPE_CHECKING:
     from lab.histories import Call, World
 
-#: Of so many histories one has a crowd of operators.
-EVERY, WHICH = 7, 0
 MOST_UNDER_WAY = 8
 #: Digests that are kept in these histories: so few that repeats come from beyond them.
 KEPT = 16
@@ -37,6 +36,8 @@
 CLEAR = (200, 400, 412)
 #: Answers that get lost, of all.
 LOST, LOST_BRISK = 0.2, 0.03
+#: Puts something new in the place of an attribute, as in faults.py.
+Patch = Callable[[Any, str, Any], None]
 #: Frames that are lost while a head is heard by nobody.
 LOSS_WHILE_MUTE = 0.25
 #: Copies are under way for so long after the last order; then all must be at rest.
@@ -77,7 +78,7 @@
         self.finishing = False
         self.brisk = self.chance.random() < 0.5
         """One change follows on the other at once, a hundred and more in a history; else many compete."""
-        self.wild = seed % 3 == 0
+        self.wild = shape_of(seed).wild
         """Troubles overlap in this history (`make_plan`), so that one more does no harm that is not owed."""
 
     def begin(self, until_s: float) -> None:
@@ -91,22 +92,23 @@
     def mute(self) -> None:
         """The head hears the others, and they don't hear it; and many frames are lost, among them the one that would
         tell it that it leads no more. Callers reach it still."""
-        from lab.histories import Step
-        self.world.begin(Step(self.world.now_s, "one-way", self.world.leader(), self.chance.uniform(2.0, 4.0)))
+        self.world.begin(Step(self.world.now_s, "one-way", self.head(), self.chance.uniform(2.0, 4.0)))
         self.world.at(3.0, "crowd", "lose", min(self.world.loss, 0.02))
         self.lose(LOSS_WHILE_MUTE)
 
     def spoil(self) -> None:
         """The head's disk refuses for a moment; once it takes writes again, its process ends and starts."""
-        from lab.histories import Step
-        head = self.world.leader()
+        head = self.head()
         self.world.begin(Step(self.world.now_s, "refuse", head, self.chance.uniform(0.05, 0.2)))
         self.world.at(self.chance.uniform(0.25, 0.6), "crowd", "crash", head)
 
     def crash(self, ip: str) -> None:
-        from lab.histories import Step
         self.world.begin(Step(self.world.now_s, "kill", ip, self.chance.uniform(0.05, 0.3)))
 
+    def head(self) -> str:
+        view = self.world.newest_view()
+        return view.head if view is not None else self.world.ips[0]
+
     def lose(self, share: float) -> None:
         self.world.loss = share
 
@@ -282,7 +284,6 @@
     patch(Keeper, "taken_up_to", taken_up_to)
 
 
-Patch = Callable[[Any, str, Any], None]
 FAULTS: dict[str, tuple[Callable[[Patch], None] | None, dict[str, Any]]] = {
     "refuse-what-is-forgotten": (refuse_what_is_forgotten, {}),
     "refuse-a-later-base": (refuse_a_later_base, {}),
