--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -122,7 +122,7 @@
                                   "acknowledge-while-cut-off", "count-a-wiped-machine"])
 def test_a_rule_that_is_left_out_shows_in_some_history(name: str) -> None:
     with faults.fault(name) as options:
-        found = histories.search(range(60), **options)
+        found = histories.search(range(80), **options)
         assert found is not None
         plan = histories.shrink(found[0], make_plan(found[0]), **options)
         assert len(plan) < len(make_plan(found[0]))
