--- a/lab/histories.py
+++ b/lab/histories.py
@@ -292,11 +292,15 @@
         return max(due_s - self.now_s, 0.0)
 
     def arrive(self, ip: str, origin: str, frame: frames.Frame, past: Past) -> None:
-        """A frame is there; it is carried out once its body is there too."""
+        """A frame is there, unless the way is cut."""
         if (origin, ip) in self.cut:
             if self.bodies[ip].get(frame.body_field(), 0.0) > self.now_s:
                 del self.bodies[ip][frame.body_field()]  # the fetch broke off
             return
+        self.take(ip, origin, frame, past)
+
+    def take(self, ip: str, origin: str, frame: frames.Frame, past: Past) -> None:
+        """It is carried out once its body is there too."""
         wait_s = self.body_due_s(origin, ip, frame.body_field())
         if wait_s > 0.0:
             self.at(wait_s, "frame", ip, origin, frame, past)
@@ -370,8 +374,11 @@
     def step(self) -> None:
         self.now_s, _, what = heapq.heappop(self.events)
         kind, where, *rest = what
-        if where in self.frozen and kind in ("tick", "written", "frame"):
-            self.frozen[where].append(what)
+        if where in self.frozen and kind in ("tick", "written", "frame", "held"):
+            if kind != "frame":
+                self.frozen[where].append(what)
+            elif (rest[0], where) not in self.cut:
+                self.frozen[where].append(("held", where, *rest))  # it is in the socket, whatever is cut later
         elif kind == "tick" and self.lives[where] == rest[0]:
             self.tick(where)
             self.at(TICK_S, *what)
@@ -384,6 +391,9 @@
                     self.answer(frame)
             elif where in self.keepers:
                 self.arrive(where, origin, frame, past)
+        elif kind == "held":
+            if where in self.keepers:
+                self.take(where, *rest)
         elif kind == "word":
             self.hear(where, *rest)
         elif kind in ("press", "hurry"):
@@ -424,6 +434,11 @@
         views = [keeper.view for keeper in self.keepers.values() if keeper.view is not None]
         return max(views, key=lambda view: view.epoch, default=None)
 
+    def leader(self) -> str:
+        """The head of the newest chain that anybody holds."""
+        view = self.newest_view()
+        return view.head if view is not None else self.ips[0]
+
     def cut_off(self, step: Step, pairs: set[tuple[str, str]]) -> None:
         self.cuts.append((step, pairs))
         self.cut |= pairs
@@ -437,8 +452,8 @@
         and what its disk has done meanwhile come before or after that."""
         held = self.frozen.pop(ip, [])
         rank = {origin: self.chance.random() for origin in (*self.ips, CLIENT)}
-        read = sorted((what for what in held if what[0] == "frame"), key=lambda what: rank[what[2]])
-        others = [what for what in held if what[0] != "frame"]
+        read = sorted((what for what in held if what[0] == "held"), key=lambda what: rank[what[2]])
+        others = [what for what in held if what[0] != "held"]
         for what in [*read, *others] if self.chance.random() < 0.5 else [*others, *read]:
             self.at(0.0, *what)
 
@@ -633,14 +648,12 @@
     """One history. Raises Violation with what does not hold."""
     shape = shape_of(seed)
     quick = {"quick": True, "loss": QUICK_LOSS} if shape.hurry_s else {}
+    shaped = {"large": shape.large, "machines": shape.machines, "crowd": shape.crowd}
     with operators.few_kept() if shape.crowd else nullcontext():
-        shaped = {"large": shape.large, "machines": shape.machines, "crowd": shape.crowd}
-        world = World(seed, **shaped | quick | options)
-        play_in(world, plan)
-    return world
+        return play_in(World(seed, **shaped | quick | options), plan)
 
 
-def play_in(world: World, plan: list[Step]) -> None:
+def play_in(world: World, plan: list[Step]) -> World:
     if world.crowd is not None:
         world.crowd.begin(LASTS_S)
     for step in plan:
@@ -652,14 +665,15 @@
     for kind in ("read", "replace", "read"):  # in the end all must work, and say what was last acknowledged
         status = world.finish("x", kind)
         demand(status in (200, 404), f"at rest a {kind} ends with {status}")
-    world.run(world.now_s + SETTLE_S)
     if world.crowd is not None:
         world.crowd.finish()
+    world.run(world.now_s + SETTLE_S)
     one_change_a_base(world.calls.values())
     linearizable(world.calls.values(), world.chain())
     newest = max(entry.revision for entry in world.committed.values())
     for name, node in world.below.items():
         demand(node.revision == newest, f"at rest {name} has version {node.revision}, not {newest}")
+    return world
 
 
 def fails(seed: int, plan: list[Step], **options: Any) -> str | None:
--- a/lab/operators.py
+++ b/lab/operators.py
@@ -92,23 +92,19 @@
     def mute(self) -> None:
         """The head hears the others, and they don't hear it; and many frames are lost, among them the one that would
         tell it that it leads no more. Callers reach it still."""
-        self.world.begin(Step(self.world.now_s, "one-way", self.head(), self.chance.uniform(2.0, 4.0)))
+        self.world.begin(Step(self.world.now_s, "one-way", self.world.leader(), self.chance.uniform(2.0, 4.0)))
         self.world.at(3.0, "crowd", "lose", min(self.world.loss, 0.02))
         self.lose(LOSS_WHILE_MUTE)
 
     def spoil(self) -> None:
         """The head's disk refuses for a moment; once it takes writes again, its process ends and starts."""
-        head = self.head()
+        head = self.world.leader()
         self.world.begin(Step(self.world.now_s, "refuse", head, self.chance.uniform(0.05, 0.2)))
         self.world.at(self.chance.uniform(0.25, 0.6), "crowd", "crash", head)
 
     def crash(self, ip: str) -> None:
         self.world.begin(Step(self.world.now_s, "kill", ip, self.chance.uniform(0.05, 0.3)))
 
-    def head(self) -> str:
-        view = self.world.newest_view()
-        return view.head if view is not None else self.world.ips[0]
-
     def lose(self, share: float) -> None:
         self.world.loss = share
 
