Refuse an order on an older version without reading its body, and give measured sizes of digests

Where many changes compete on one base all but one are refused; the head read each body (thousands of routes) before that. Now it looks at the base first, where that says it all. After 5,000 and after 10,000 changes the digests take 0.54 MB of memory and the database 213 kB.

--- a/cypressbeam/chain.py
+++ b/cypressbeam/chain.py
@@ -185,6 +185,9 @@
         and what is refused is never taken. So whoever may yet turn out to be either is told to come back."""
         if self.digest(order.body) in self.taken.values():
             return [answer(order, 200, "taken before")]  # first, for a check may have changed since
+        if taken.forgotten(self.taken, self.number) <= order.base < self.revision:
+            # As a rule one of many on the same base: a body of many thousand routes is not read for that.
+            return [answer(order, 412, f"the current version is {self.revision}")]
         try:
             revision = self.check(order.body)
         except ValueError as err:
--- a/cypressbeam/taken.py
+++ b/cypressbeam/taken.py
@@ -12,8 +12,8 @@
 from cypressbeam import frames
 from cypressbeam.configuration import MOST_REVISION
 
-#: Digests that are kept: a dictionary of 0.8 MB, 0.2 MB on disk. At eight changes a second, the most that was measured
-#: with news for a whole fleet, they go back over eight minutes; callers give up far sooner, and days hold hundreds.
+#: Digests that are kept: 0.54 MB of memory, 0.2 MB on disk. At eight changes a second, the most that was measured with
+#: news for a whole fleet, they go back over eight minutes; callers give up far sooner, and days hold hundreds.
 KEPT = 4096
 RECORD = struct.Struct("!Q32s")
 
