--- a/cypressbeam/core.py
+++ b/cypressbeam/core.py
@@ -11,7 +11,7 @@
 from urllib.parse import quote
 
 from cypressbeam import configuration, frames
-from cypressbeam.agreement import Action, Keeper, Lead, SavePromise, SaveView, TryDisk
+from cypressbeam.agreement import STOOD_STILL_S, Action, Keeper, Lead, SavePromise, SaveView, TryDisk
 from cypressbeam.chain import Publish, Sync, Tell, View, ip_of
 from cypressbeam.listing import Server, read_page
 from cypressbeam.peers import Link
@@ -133,6 +133,8 @@
         self.keeper: Keeper | None = None
         self.roster = Roster(settings.node)
         self.rooted_s = self.introduced_s = 0.0
+        self.went_on_s = self.loop.time()
+        """When the rules last had their turn."""
         self.poller: asyncio.Task[None] | None = None
         self.early: dict[str, tuple[Link, frames.Join]] = {}
         """Joins that came while this machine was about to be the root."""
@@ -199,7 +201,16 @@
 
     def tick(self) -> None:
         self.loop.call_later(TICK_S, self.tick)
-        now_s = self.loop.time()
+        self.go_on()
+
+    def catch_up(self) -> None:
+        """Before a frame, or a list, is taken: in a process that stood still what its sockets hold is read before its
+        timers run, and it may be the root no more."""
+        if self.loop.time() - self.went_on_s > STOOD_STILL_S:
+            self.go_on()
+
+    def go_on(self) -> None:
+        now_s = self.went_on_s = self.loop.time()
         if self.keeper is not None:
             self.carry_out(self.keeper.tick(now_s))
         if self.relay.is_root:
@@ -323,7 +334,8 @@
             self.roster.drop(name)
 
     def take_list(self, servers: list[Server]) -> None:
-        changes = self.relay.listing.poll(servers)
+        self.catch_up()
+        changes = self.relay.listing.poll(servers) if self.relay.is_root else None
         if changes is not None:
             self.relay.tell(changes)
             self.relay.on_servers()
--- a/cypressbeam/node.py
+++ b/cypressbeam/node.py
@@ -293,6 +293,8 @@
 
     def on_frame(self, link: Link, frame: frames.Frame) -> None:
         relay, core = self.relay, self.core
+        if core is not None:
+            core.catch_up()
         if isinstance(frame, frames.Beat):
             relay.on_beat(link, frame)
         elif isinstance(frame, frames.News):
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from cypressbeam import agreement, frames
@@ -10,6 +12,7 @@
 from lab import faults, histories
 from lab.below import Below, Pasts, Word
 from lab.histories import CLIENT, World
+from lab.membership import Cluster
 from lab.plans import Step, make_plan, shape_of
 
 
@@ -65,6 +68,37 @@
     assert sum(other.root for other in world.keepers.values()) == 1
 
 
+@pytest.mark.usefixtures("quiet")
+def test_a_join_or_a_list_that_waited_in_a_socket_is_not_taken_by_a_root_that_is_none_any_more() -> None:
+    """Sockets are read before timers run: it placed the node under itself, and told it the old list."""
+    for late in (False, True):
+        cluster = Cluster(1, 3)
+        try:
+            cluster.run(scenario(cluster, late))
+        finally:
+            cluster.close()
+
+
+async def scenario(cluster: Cluster, late: bool) -> None:
+    for machine in cluster.machines:
+        cluster.start(*machine)
+    await cluster.until(lambda: cluster.root is not None)
+    await asyncio.sleep(1.0)
+    node = cluster.root
+    assert node is not None and node.core is not None and node.core.keeper is not None
+    core, keeper = node.core, node.core.keeper
+    if late:  # as if it had stood still for 20 s until now
+        core.went_on_s -= 20.0
+        keeper.root_s -= 20.0
+        for heard in keeper.heard.values():
+            heard.at_s -= 20.0
+    seq = node.relay.listing.seq
+    cluster.at(node, core.take_list, [])
+    assert (node.relay.listing.seq != seq) is not late
+    cluster.at(node, node.on_frame, node.peers.local, frames.Join("new", "10.9.0.9", "a", 0, 0, ""))
+    assert (node.relay.is_root, "new" in core.roster.nodes) == ((False, False) if late else (True, True))
+
+
 def test_after_a_short_stall_the_root_stays_it_and_answers_only_once_it_is_echoed() -> None:
     world = quiet_world()
     keeper, now_s = world.keepers["c"], world.now_s + DEAD_S + 0.2
