--- a/lab/faults.py
+++ b/lab/faults.py
@@ -12,6 +12,7 @@
 from cypressbeam import agreement, frames
 from cypressbeam.agreement import Keeper
 from cypressbeam.chain import Entry, Member, Tell, View
+from lab import operators
 from lab.below import Below
 
 #: Puts something new in the place of an attribute.
@@ -111,7 +112,8 @@
     "stay-the-root": (stay_the_root, {}),
     "lead-alone": (lead_alone, {}),
     "answer-by-old-words": (answer_by_old_words, {}),
-    "believe-any-epoch": (believe_any_epoch, {})}
+    "believe-any-epoch": (believe_any_epoch, {}),
+    **operators.FAULTS}
 
 
 @contextmanager
--- a/lab/histories.py
+++ b/lab/histories.py
@@ -17,13 +17,15 @@
 import itertools
 import random
 from collections.abc import Iterable
+from contextlib import nullcontext
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 from cypressbeam import agreement, frames
+from cypressbeam import taken as digests
 from cypressbeam.agreement import Keeper, Lead, SavePromise, SaveView, TryDisk
 from cypressbeam.chain import Entry, Publish, Sync, Tell, View, ip_of
-from lab import faults
+from lab import faults, operators
 from lab.below import Below, Past, Pasts, Word
 from lab.plans import BELOW, IPS, LASTS_S, MACHINES, OPERATORS, Step, make_plan, shape_of
 
@@ -65,7 +67,8 @@
 
 
 def digest(body: bytes) -> bytes:
-    return body.ljust(32)[:32]
+    assert len(body) <= 32
+    return body.ljust(32)
 
 
 def demand(holds: bool, what: str) -> None:
@@ -86,7 +89,7 @@
     def write(self, action: Any) -> None:
         if isinstance(action, Sync):
             self.last = action.entry
-            self.taken[action.entry.revision] = digest(action.entry.body)
+            digests.note(self.taken, action.entry.revision, action.entry.base, digest(action.entry.body))
         elif isinstance(action, SavePromise):
             self.promised = max(self.promised, action.epoch)
         elif isinstance(action, SaveView):
@@ -113,7 +116,8 @@
 
 class World:
     def __init__(self, seed: int, loss: float = 0.02, lying: bool = False, same_name: bool = False,
-                 copies: int = 0, large: bool = False, machines: int = len(IPS), quick: bool = False) -> None:
+                 copies: int = 0, large: bool = False, machines: int = len(IPS), quick: bool = False,
+                 crowd: bool = False) -> None:
         self.large = large
         self.ips = MACHINES[:machines]
         self.way_s, self.write_s = (QUICK_WAY_S, QUICK_WRITE_S) if quick else (WAY_S, WRITE_S)
@@ -153,6 +157,7 @@
         self.chains: dict[int, tuple[str, ...]] = {}
         """What was ever active, by epoch."""
         self.calls: dict[int, Call] = {}
+        self.crowd = operators.Crowd(self, seed) if crowd else None
         self.known: dict[str, int] = {}
         self.open: dict[str, int] = {}
         self.hurried: dict[str, float] = {}
@@ -245,6 +250,8 @@
             return
         keeper, action = self.keepers[ip], self.pending[ip].pop(0)
         if ip in self.refusing:
+            if self.crowd is not None and self.crowd.chance.random() < 0.5:
+                self.disks[ip].write(action)  # it was the sync that failed: a later start finds the write
             self.carry_out(ip, keeper.write_failed(action, self.now_s))
             return
         if not (self.lying and isinstance(action, Sync)):
@@ -343,6 +350,9 @@
 
     def answer(self, frame: frames.Frame) -> None:
         assert isinstance(frame, (frames.Outcome, frames.Reading))
+        if self.crowd is not None and isinstance(frame, frames.Outcome) and frame.ident in self.crowd.copies:
+            self.crowd.answer(frame)
+            return
         call = self.calls[frame.ident]
         if self.open.get(call.operator) != frame.ident or frame.status == 503:
             return
@@ -388,6 +398,8 @@
             self.hear(where, *rest)
         elif kind in ("press", "hurry"):
             getattr(self, kind)(where)
+        elif kind == "crowd" and self.crowd is not None:
+            self.crowd.on(where, *rest)
         elif kind in ("begin", "end"):
             getattr(self, kind)(rest[0])
         self.check(where)
@@ -422,6 +434,11 @@
         views = [keeper.view for keeper in self.keepers.values() if keeper.view is not None]
         return max(views, key=lambda view: view.epoch, default=None)
 
+    def leader(self) -> str:
+        """The head of the newest chain that anybody holds."""
+        view = self.newest_view()
+        return view.head if view is not None else self.ips[0]
+
     def cut_off(self, step: Step, pairs: set[tuple[str, str]]) -> None:
         self.cuts.append((step, pairs))
         self.cut |= pairs
@@ -631,7 +648,15 @@
     """One history. Raises Violation with what does not hold."""
     shape = shape_of(seed)
     quick = {"quick": True, "loss": QUICK_LOSS} if shape.hurry_s else {}
-    world = World(seed, **{"large": shape.large, "machines": shape.machines} | quick | options)
+    crowd = seed % operators.EVERY == operators.WHICH
+    shaped = {"large": shape.large, "machines": shape.machines, "crowd": crowd}
+    with operators.few_kept() if crowd else nullcontext():
+        return play_in(World(seed, **shaped | quick | options), plan)
+
+
+def play_in(world: World, plan: list[Step]) -> World:
+    if world.crowd is not None:
+        world.crowd.begin(LASTS_S)
     for step in plan:
         world.at(step.at_s, "begin", "", step)
     # A freeze with a cut ends a third later than the step does.
@@ -641,6 +666,8 @@
     for kind in ("read", "replace", "read"):  # in the end all must work, and say what was last acknowledged
         status = world.finish("x", kind)
         demand(status in (200, 404), f"at rest a {kind} ends with {status}")
+    if world.crowd is not None:
+        world.crowd.finish()
     world.run(world.now_s + SETTLE_S)
     one_change_a_base(world.calls.values())
     linearizable(world.calls.values(), world.chain())
