--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -8,7 +8,7 @@
 
 from cypressbeam import agreement, frames
 from cypressbeam.agreement import DEAD_S, ROOT_ALONE_S, STALL_S, Keeper, Lead, SavePromise
-from cypressbeam.chain import Tell
+from cypressbeam.chain import Tell, View
 from lab import faults, histories
 from lab.below import Below, Pasts, Word
 from lab.histories import CLIENT, World
@@ -148,6 +148,30 @@
     assert keeper.newcomers(now_s) == {"c/0": "c/7"}
 
 
+def test_a_machine_without_a_view_answers_pulses_so_that_it_is_taken_in_before_it_finds_the_root() -> None:
+    """One that had lost its disk, while it held the root, told of itself only once it had found another root."""
+    keeper = Keeper("c/7", 2, histories.revision, histories.digest, lambda: 0.5)
+    assert keeper.load(None, 0, None, {}, 0.0) == []
+    (told,) = keeper.on_pulse(pulse("a/0", 0, 5), 0.1)
+    assert isinstance(told, Tell) and told.ip == "a" and isinstance(told.frame, frames.Pulse)
+    assert (told.frame.echo, told.frame.epoch, told.frame.taken_in, told.frame.disk) == (5, 0, 0, 1)
+
+
+def test_nobody_proposes_while_too_few_are_there_that_can_promise() -> None:
+    """At the founding the others may be slow to put the view on disk: they answer, and can promise nothing yet."""
+    view = View(256, ("a/0", "b/0", "c/0"), ("a/0", "b/0", "c/0"))
+    for empty in (True, False):
+        keeper = Keeper("a/0", 2, histories.revision, histories.digest, lambda: 0.5)
+        keeper.load(view, 256, None, {}, 0.0)
+        told: list[agreement.Action] = []
+        for tick in range(1, 30):
+            number = asked(keeper.pulse(0.1 * tick))
+            for name in ("b/0", "c/0"):
+                keeper.on_pulse(frames.Pulse(name, 0, 0, 1, int(not empty), echo=number), 0.1 * tick)
+            told += keeper.tick(0.1 * tick)
+        assert any(isinstance(one, Tell) and isinstance(one.frame, frames.Prepare) for one in told) is not empty
+
+
 def test_echoes_of_a_former_life_prove_nothing() -> None:
     lives = [Keeper("a/0", 2, histories.revision, histories.digest, lambda share=share: share)  # type: ignore[misc]
              for share in (0.25, 0.75)]
