--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -166,10 +166,10 @@
         told: list[agreement.Action] = []
         for tick in range(1, 30):
             number = asked(keeper.pulse(0.1 * tick))
-            for name in ("b/0", "c/0"):
+            for name in view.group[1:]:
                 keeper.on_pulse(frames.Pulse(name, 0, 0, 1, int(not empty), echo=number), 0.1 * tick)
             told += keeper.tick(0.1 * tick)
-        assert any(isinstance(one, Tell) and isinstance(one.frame, frames.Prepare) for one in told) is not empty
+        assert proposes(told) is not empty
 
 
 def test_echoes_of_a_former_life_prove_nothing() -> None:
@@ -194,6 +194,29 @@
     assert not keeper.disk_works(now_s + 20.0 + STALL_S + 0.2)
 
 
+def test_what_seemed_wrong_before_a_stall_must_be_seen_again_after_it() -> None:
+    """A member had just fallen silent; after 20 s nobody has watched it for so long, and it answers a moment later."""
+    world = quiet_world()
+    keeper, now_s = world.keepers["a"], world.now_s
+    echo(keeper, ("b/0",), now_s + DEAD_S)
+    assert keeper.wrong_since_s is not None
+    assert proposes(echo(keeper, ("b/0",), now_s + 20.0)) is False
+    assert proposes(echo(keeper, ("b/0", "c/0"), now_s + 20.1)) is False
+    assert keeper.wrong_since_s is None
+
+
+def echo(keeper: Keeper, names: tuple[str, ...], now_s: float) -> list[agreement.Action]:
+    """A pulse that these answer, and then the timer."""
+    number = asked(keeper.pulse(now_s))
+    for name in names:
+        keeper.on_pulse(pulse(name, number), now_s)
+    return keeper.tick(now_s)
+
+
+def proposes(actions: list[agreement.Action]) -> bool:
+    return any(isinstance(one, Tell) and isinstance(one.frame, frames.Prepare) for one in actions)
+
+
 def test_a_majority_s_word_that_is_read_late_answers_nothing() -> None:
     world = quiet_world()
     keeper, now_s = world.keepers["c"], world.now_s
