--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from cypressbeam import agreement, frames
 from cypressbeam.agreement import DEAD_S, ROOT_ALONE_S, STALL_S, Keeper, Lead, SavePromise
-from cypressbeam.chain import Tell
+from cypressbeam.chain import Tell, View
 from lab import faults, histories
 from lab.below import Below, Pasts, Word
 from lab.histories import CLIENT, World
+from lab.membership import Cluster
 from lab.plans import Step, make_plan, shape_of
 
 
@@ -65,6 +68,37 @@
     assert sum(other.root for other in world.keepers.values()) == 1
 
 
+@pytest.mark.usefixtures("quiet")
+def test_a_join_or_a_list_that_waited_in_a_socket_is_not_taken_by_a_root_that_is_none_any_more() -> None:
+    """Sockets are read before timers run: it placed the node under itself, and told it the old list."""
+    for late in (False, True):
+        cluster = Cluster(1, 3)
+        try:
+            cluster.run(scenario(cluster, late))
+        finally:
+            cluster.close()
+
+
+async def scenario(cluster: Cluster, late: bool) -> None:
+    for machine in cluster.machines:
+        cluster.start(*machine)
+    await cluster.until(lambda: cluster.root is not None)
+    await asyncio.sleep(1.0)
+    node = cluster.root
+    assert node is not None and node.core is not None and node.core.keeper is not None
+    core, keeper = node.core, node.core.keeper
+    if late:  # as if it had stood still for 20 s until now
+        core.went_on_s -= 20.0
+        keeper.root_s -= 20.0
+        for heard in keeper.heard.values():
+            heard.at_s -= 20.0
+    seq = node.relay.listing.seq
+    cluster.at(node, core.take_list, [])
+    assert (node.relay.listing.seq != seq) is not late
+    cluster.at(node, node.on_frame, node.peers.local, frames.Join("new", "10.9.0.9", "a", 0, 0, ""))
+    assert (node.relay.is_root, "new" in core.roster.nodes) == ((False, False) if late else (True, True))
+
+
 def test_after_a_short_stall_the_root_stays_it_and_answers_only_once_it_is_echoed() -> None:
     world = quiet_world()
     keeper, now_s = world.keepers["c"], world.now_s + DEAD_S + 0.2
@@ -114,6 +148,30 @@
     assert keeper.newcomers(now_s) == {"c/0": "c/7"}
 
 
+def test_a_machine_without_a_view_answers_pulses_so_that_it_is_taken_in_before_it_finds_the_root() -> None:
+    """One that had lost its disk, while it held the root, told of itself only once it had found another root."""
+    keeper = Keeper("c/7", 2, histories.revision, histories.digest, lambda: 0.5)
+    assert keeper.load(None, 0, None, {}, 0.0) == []
+    (told,) = keeper.on_pulse(pulse("a/0", 0, 5), 0.1)
+    assert isinstance(told, Tell) and told.ip == "a" and isinstance(told.frame, frames.Pulse)
+    assert (told.frame.echo, told.frame.epoch, told.frame.taken_in, told.frame.disk) == (5, 0, 0, 1)
+
+
+def test_nobody_proposes_while_too_few_are_there_that_can_promise() -> None:
+    """At the founding the others may be slow to put the view on disk: they answer, and can promise nothing yet."""
+    view = View(256, ("a/0", "b/0", "c/0"), ("a/0", "b/0", "c/0"))
+    for empty in (True, False):
+        keeper = Keeper("a/0", 2, histories.revision, histories.digest, lambda: 0.5)
+        keeper.load(view, 256, None, {}, 0.0)
+        told: list[agreement.Action] = []
+        for tick in range(1, 30):
+            number = asked(keeper.pulse(0.1 * tick))
+            for name in view.group[1:]:
+                keeper.on_pulse(frames.Pulse(name, 0, 0, 1, int(not empty), echo=number), 0.1 * tick)
+            told += keeper.tick(0.1 * tick)
+        assert proposes(told) is not empty
+
+
 def test_echoes_of_a_former_life_prove_nothing() -> None:
     lives = [Keeper("a/0", 2, histories.revision, histories.digest, lambda share=share: share)  # type: ignore[misc]
              for share in (0.25, 0.75)]
@@ -136,6 +194,29 @@
     assert not keeper.disk_works(now_s + 20.0 + STALL_S + 0.2)
 
 
+def test_what_seemed_wrong_before_a_stall_must_be_seen_again_after_it() -> None:
+    """A member had just fallen silent; after 20 s nobody has watched it for so long, and it answers a moment later."""
+    world = quiet_world()
+    keeper, now_s = world.keepers["a"], world.now_s
+    echo(keeper, ("b/0",), now_s + DEAD_S)
+    assert keeper.wrong_since_s is not None
+    assert proposes(echo(keeper, ("b/0",), now_s + 20.0)) is False
+    assert proposes(echo(keeper, ("b/0", "c/0"), now_s + 20.1)) is False
+    assert keeper.wrong_since_s is None
+
+
+def echo(keeper: Keeper, names: tuple[str, ...], now_s: float) -> list[agreement.Action]:
+    """A pulse that these answer, and then the timer."""
+    number = asked(keeper.pulse(now_s))
+    for name in names:
+        keeper.on_pulse(pulse(name, number), now_s)
+    return keeper.tick(now_s)
+
+
+def proposes(actions: list[agreement.Action]) -> bool:
+    return any(isinstance(one, Tell) and isinstance(one.frame, frames.Prepare) for one in actions)
+
+
 def test_a_majority_s_word_that_is_read_late_answers_nothing() -> None:
     world = quiet_world()
     keeper, now_s = world.keepers["c"], world.now_s
