Leave alone a connect that has just come up when its link is begun anew

Two nodes that connect to each other while the loop is held for over 50 ms (a new table of routes, say) come up in one turn: the inbound one calls on_up, which cancels the outbound link's connect task; the outbound connection is made in the same turn, and then the cancelled task cancels its knock. uvloop closes such a transport without connection_lost, so the link keeps a closed transport, is not `closed`, and stays in Peers.out. The knock's time-out in the same turn does the same. Each later frame to that node raises RuntimeError; on the lane of bodies too, where `silent()` never ends it while the node is heard otherwise. Relay.tell stops at the first such child, and the others miss that frame.

Ruled out: a transport that closes and is told so a turn later (closed is set in connection_lost, before the handle is closed).

Change: of a link's knocks the one that has come up ends by itself and is not cancelled; a time-out in that turn loses nothing.

--- a/cypressbeam/peers.py
+++ b/cypressbeam/peers.py
@@ -140,9 +140,15 @@
 
     def __init__(self, link: Link) -> None:
         self.link = link
+        self.won = False
+        """It has come up as the link's connection."""
+
+    def protocol(self) -> Knock:
+        return self
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         if self.link.transport is None:
+            self.won = True
             transport.set_protocol(self.link)
             self.link.connection_made(transport)
         else:
@@ -238,22 +244,28 @@
 
     async def connect(self, link: Link) -> None:
         wait_s = self.waits.get(link.ip, CONNECT_TIMEOUT_S[0])
-        knocks: set[asyncio.Task[Any]] = set()
+        knocks: dict[asyncio.Task[Any], Knock] = {}
         try:
             async with asyncio.timeout(wait_s):
                 while link.transport is None:
                     # From the node's own address: the other side knows nodes by it, also on machines with several.
-                    knocks.add(self.loop.create_task(self.loop.create_connection(
-                        lambda: Knock(link), link.ip, self.port, local_addr=(self.ip, 0))))
-                    ended, knocks = await asyncio.wait(knocks, timeout=KNOCK_S, return_when=asyncio.FIRST_COMPLETED)
-                    for knock in ended:
-                        knock.result()
+                    knock = Knock(link)
+                    knocks[self.loop.create_task(self.loop.create_connection(
+                        knock.protocol, link.ip, self.port, local_addr=(self.ip, 0)))] = knock
+                    ended, _ = await asyncio.wait(knocks, timeout=KNOCK_S, return_when=asyncio.FIRST_COMPLETED)
+                    for task in ended:
+                        del knocks[task]
+                        task.result()
         except (OSError, TimeoutError):
-            self.waits[link.ip] = min(2 * wait_s, CONNECT_TIMEOUT_S[1])
-            link.lost()
+            if link.transport is None:
+                self.waits[link.ip] = min(2 * wait_s, CONNECT_TIMEOUT_S[1])
+                link.lost()
         finally:
-            for knock in knocks:
-                knock.cancel()
+            # One that has just come up ends by itself in the next turn. Cancelled before that its transport would be
+            # closed without a word to the link (so does uvloop), which then stays dead among the connections.
+            for task, knock in knocks.items():
+                if not knock.won:
+                    task.cancel()
 
     def forget(self, link: Link) -> None:
         self.links.discard(link)
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,50 @@
+"""Connections between nodes on real sockets and the loop that runs in service."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+import pytest
+import uvloop
+
+from cypressbeam import frames
+from cypressbeam.peers import BULK, CONNECT_QUIET_S, SMALL, Peers
+
+PAIRS, PORT = 4, 7655
+
+
+async def frames_that_come(lane: int, held_s: float) -> int:
+    """Two nodes write to each other at once, again and again, while the loop is held up; how many frames come."""
+    net, came = f"127.{random.SystemRandom().randrange(2, 16)}", 0
+
+    def take(*_: object) -> None:
+        nonlocal came
+        came += 1
+    for pair in range(PAIRS):
+        nodes = [Peers(f"{net}.{pair}.{number}", PORT, take, lambda link: None, 1000.0) for number in (1, 2)]
+        for node in nodes:
+            await node.listen()
+        links = [nodes[0].to(nodes[1].ip, lane), nodes[1].to(nodes[0].ip, lane)]
+        for link in links:
+            link.send(frames.Refer("first"))
+        for _ in range(1 + pair % 4):
+            await asyncio.sleep(0)
+        time.sleep(held_s)  # a new table of routes, for one
+        await asyncio.sleep(0.1)
+        for link in links:
+            if not link.closed:
+                link.send(frames.Refer("second"))
+        await asyncio.sleep(0.05)
+        for node in nodes:
+            node.close()
+    return came
+
+
+@pytest.mark.parametrize("lane", [SMALL, BULK])
+@pytest.mark.parametrize("held_s", [CONNECT_QUIET_S + 0.01, 0.25])
+def test_a_loop_that_is_held_up_leaves_no_dead_connection(lane: int, held_s: float) -> None:
+    """Connects of two nodes to each other that come up in one turn: the one was cancelled as it had just come up, and
+    the link held on to a closed transport. Every later frame raised RuntimeError, and nothing opened a new one."""
+    assert uvloop.run(frames_that_come(lane, held_s)) == 4 * PAIRS
