Take a connection for a link's only once its connect has ended; bound every fetch

The link was taken for up, each write to it raised, and the error ended the clock of all fetches: the node stayed behind for ever.

Ruled out as the cause, but unbounded: relays that hand nothing out, a hung connection beside one that is heard, an older version that stalls. Now a fetch without progress for 0.4 to 0.6 s is asked of other sources (the core in each node's own order), the connection for bodies is opened early and replaced by its own silence, "comes" means bytes, windows grow where they take long, and a change of up to 2 kB goes within its news. A node that is behind for a second says so once, with its fetch.

The simulated network carries connects through full links, closes cancelled connects as uvloop does, and no longer lets one late sender hold up all that come to a receiver.

--- a/cypressbeam/bodies.py
+++ b/cypressbeam/bodies.py
@@ -4,13 +4,16 @@
 beside the one for frames, so nothing small waits behind it. It comes packed (delta.py), in slices that the fetching
 side asks for a window at a time: so a thin link never holds more than a window of it. The handing side spaces its
 slices by its own link. A node that is still fetching hands on what it has so far; a fetch goes on where it stopped
-when it goes to another source. What does not match its digest is thrown away and fetched whole elsewhere.
+when it goes to another source. One that does not move is asked of others too: of those who have named it, then of
+those whom the tree does not need (`Bodies.others`). What does not match its digest is thrown away and fetched whole
+elsewhere.
 """
 
 from __future__ import annotations
 
 import asyncio
 import logging
+import random
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -34,12 +37,20 @@
 WINDOW_BYTES = (8 * 1024, 256 * 1024)
 #: Slices take at most this share of the link; requests have the rest, where a node carries any.
 LINK_SHARE, FREE_SHARE = 0.5, 0.9
-#: A source that has sent nothing for so long is asked again, or another one; a fetch without progress is over.
-STALL_S = 0.8
+#: A fetch that has not moved for so long is asked of another source as well, and of a third after as long; then it has
+#: so many times the patience: a full link takes its time, and is not to be filled by asking. Each waits up to so much
+#: longer, so that those who wait for one source don't all turn to another in one moment. One without progress is over
+#: in the end.
+STALL_S, PATIENCE, JITTER = 0.4, 2, 0.5
+#: One whose first slice took long has so many times that long, up to so many times the patience; and the window grows,
+#: up to so many times.
+MOST_WAYS, MOST_PATIENCE, MOST_WINDOWS = 2, 3, 4
 GIVE_UP_S = 6.0
-#: One that has been quiet for so long gives way to a source that is told of now.
+#: One that has been quiet for so long gives way to a source that is told of now, or to a newer version.
 QUIET_S = 0.3
-TICK_S = 0.2
+TICK_S = 0.1
+#: A packed body of so many bytes goes with the frame that names it: no larger than the smallest slice.
+BRIEF_BYTES = SLICE_BYTES[0]
 
 
 @dataclass(slots=True)
@@ -51,6 +62,7 @@
     moved_s: float
     asked_s: float
     began_s: float
+    window: int
     link: Link | None = None
     base: bytes = b""
     base_body: bytes = b""
@@ -62,6 +74,14 @@
     then: dict[object, Callable[[bytes], None]] = field(default_factory=dict)
     whole: bool = False
     """Nothing of what is here may serve as a base: what was packed on it did not match."""
+    spent: set[str] = field(default_factory=set)
+    """Sources that have said that it is not there."""
+    asked_again: int = 0
+    """How often, since it moved."""
+    due_s: float = 0.0
+    """When it is asked again, unless it moves."""
+    way_s: float = 0.0
+    """How long the first slice took to come."""
 
     def begin_anew(self) -> None:
         self.got.clear()
@@ -84,6 +104,7 @@
 
     def __init__(self, peers: Peers, link_mbps: float, shared: bool) -> None:
         self.peers = peers
+        self.chance = random.Random(peers.ip)
         self.loop = asyncio.get_running_loop()
         per_s = link_mbps * 1e6 / 8
         self.slice = int(min(max(per_s * SLICE_S, SLICE_BYTES[0]), SLICE_BYTES[1]))
@@ -101,6 +122,8 @@
         self.ticking = False
         self.fetched_bytes = self.handed_bytes = 0
         self.on_progress: Callable[[str], None] = lambda ip: None
+        self.others: Callable[[], list[str]] = list
+        """Whom to turn to for what nobody sends who has named it, the best first."""
 
     # -- what is held --------------------------------------------------------------------------------------
 
@@ -124,9 +147,10 @@
         fetch = self.fetches.get(mark)
         if fetch is None:
             now_s = self.loop.time()
-            fetch = self.fetches[mark] = Fetch([source], now_s, now_s, now_s)
+            fetch = self.fetches[mark] = Fetch([source], now_s, now_s, now_s, self.window)
             self.ask(mark, fetch)
         elif source not in fetch.sources:
+            fetch.spent.discard(source)
             fetch.sources.insert(0, source)
             if self.loop.time() - max(fetch.moved_s, fetch.asked_s) > QUIET_S:
                 self.ask(mark, fetch)
@@ -138,38 +162,65 @@
             self.loop.call_later(TICK_S, self.tick)
 
     def comes(self, mark: bytes) -> bool:
-        """Whether a body is on its way here, and has moved lately."""
+        """Whether a body is on its way here, and has moved lately; that it was asked for again says nothing."""
         fetch = self.fetches.get(mark)
-        return fetch is not None and self.loop.time() - max(fetch.moved_s, fetch.asked_s) <= STALL_S
+        return fetch is not None and self.loop.time() - fetch.moved_s <= QUIET_S
+
+    def drop(self, mark: bytes, key: object) -> None:
+        """Whoever has waited for a body under this key does not any more."""
+        fetch = self.fetches.get(mark)
+        if fetch is not None and fetch.then.pop(key, None) is not None and not fetch.then:
+            del self.fetches[mark]
+            self.pump()
+
+    def how(self, mark: bytes) -> str:
+        """How a fetch stands, for the log."""
+        fetch = self.fetches.get(mark)
+        if fetch is None:
+            return "nobody is asked for it"
+        now_s = self.loop.time()
+        return (f"{len(fetch.got)} of {fetch.total} bytes, moved {now_s - fetch.moved_s:.1f} s ago, asked"
+                f" {now_s - fetch.asked_s:.1f} s ago, begun {now_s - fetch.began_s:.1f} s ago; sources"
+                f" {' '.join(fetch.sources)}")
 
     # -- fetching ------------------------------------------------------------------------------------------
 
     def ask(self, mark: bytes, fetch: Fetch) -> None:
         """Ask the first source for the next window."""
-        fetch.asked_s = self.loop.time()
+        now_s = fetch.asked_s = self.loop.time()
+        waits_s = STALL_S if fetch.asked_again < 2 else STALL_S * PATIENCE
+        fetch.due_s = now_s + waits_s * self.chance.uniform(1.0, 1.0 + JITTER)
+        link = self.peers.bulk(fetch.sources[0])
         at = len(fetch.got)
-        fetch.wanted = at + self.window
+        if link is fetch.link and link.transport is None and fetch.wanted == at + fetch.window:
+            return  # what is asked of it already waits for its connection
+        fetch.link, fetch.wanted = link, at + fetch.window
         bases = fetch.base
         if fetch.total < 0 and not fetch.whole:
             bases = b"".join(self.held)
-        fetch.link = self.peers.bulk(fetch.sources[0])
-        fetch.link.send(frames.Want(mark, bases, at, self.window))
+        link.send(frames.Want(mark, bases, at, fetch.window))
 
     def ask_elsewhere(self, mark: bytes, fetch: Fetch) -> None:
+        """Ask the next source, and for more: each window takes long now. What the one before still sends is taken as
+        well."""
+        fetch.asked_again += 1
+        fetch.window = min(2 * fetch.window, MOST_WINDOWS * self.window)
+        fetch.sources += [ip for ip in self.others() if ip not in fetch.sources and ip not in fetch.spent]
         fetch.sources.append(fetch.sources.pop(0))
         self.ask(mark, fetch)
 
     def tick(self) -> None:
+        # The next one first: whatever one fetch does, the others go on.
+        self.ticking = bool(self.fetches)
+        if self.ticking:
+            self.loop.call_later(TICK_S, self.tick)
         now_s = self.loop.time()
         for mark, fetch in [*self.fetches.items()]:
             if now_s - fetch.moved_s > GIVE_UP_S:
                 log.warning("body %s: nobody sends it", mark.hex()[:8])
                 del self.fetches[mark]
-            elif now_s - max(fetch.moved_s, fetch.asked_s) > STALL_S:
+            elif now_s >= fetch.due_s:
                 self.ask_elsewhere(mark, fetch)
-        self.ticking = bool(self.fetches)
-        if self.ticking:
-            self.loop.call_later(TICK_S, self.tick)
 
     def on_slice(self, link: Link, frame: frames.Slice) -> None:
         fetch = self.fetches.get(frame.mark)
@@ -185,29 +236,49 @@
         if frame.at != len(fetch.got):
             return  # it came twice, or after one that was lost with its connection
         fetch.moved_s = self.loop.time()
+        fetch.way_s = fetch.way_s or fetch.moved_s - fetch.began_s
+        waits_s = min(max(STALL_S, MOST_WAYS * fetch.way_s), STALL_S * MOST_PATIENCE)
+        fetch.asked_again, fetch.due_s = 0, fetch.moved_s + waits_s * self.chance.uniform(1.0, 1.0 + JITTER)
         self.fetched_bytes += len(frame.data)
         self.on_progress(link.ip)
         fetch.got += frame.data
         if len(fetch.got) >= fetch.total:
             self.finish(frame.mark, fetch)
             return
-        if len(fetch.got) >= fetch.wanted - self.window // 2:
-            link.send(frames.Want(frame.mark, fetch.base, fetch.wanted, self.window // 2))
-            fetch.wanted += self.window // 2
+        if len(fetch.got) >= fetch.wanted - fetch.window // 2:
+            self.ask_on(link, frame.mark, fetch)
         self.pump()
 
+    def ask_on(self, link: Link, mark: bytes, fetch: Fetch) -> None:
+        """Half of what was asked for has come. At a full link, where a window takes long, there may be more of it on
+        the way."""
+        if fetch.way_s > MOST_WAYS * WINDOW_S:
+            fetch.window = min(2 * fetch.window, MOST_WINDOWS * self.window)
+        if link is fetch.link:
+            more = fetch.window - (fetch.wanted - len(fetch.got))
+            link.send(frames.Want(mark, fetch.base, fetch.wanted, more))
+            fetch.wanted += more
+        elif link.ip in fetch.sources:  # it was slow, another was asked, and it is before that one: it goes on
+            fetch.sources.remove(link.ip)
+            fetch.sources.insert(0, link.ip)
+            self.ask(mark, fetch)
+
     def on_lacking(self, link: Link, frame: frames.Lacking) -> None:
         """A source does not have it; the next one may. Where there is none the fetch is over: a version that was
         followed by others has gone from those who had it, and must not hold up the newest."""
         fetch = self.fetches.get(frame.mark)
-        if fetch is None or fetch.sources[0] != link.ip:
+        if fetch is None or link.ip not in fetch.sources:
             return
-        fetch.sources.pop(0)
-        if fetch.sources:
+        first = fetch.sources[0] == link.ip
+        fetch.sources.remove(link.ip)
+        fetch.spent.add(link.ip)
+        if not fetch.sources:
+            fetch.sources += [ip for ip in self.others() if ip not in fetch.spent]
+        if not fetch.sources:
+            del self.fetches[frame.mark]
+        elif first:
             fetch.begin_anew()
             self.ask(frame.mark, fetch)
-        else:
-            del self.fetches[frame.mark]
 
     def finish(self, mark: bytes, fetch: Fetch) -> None:
         try:
@@ -221,12 +292,37 @@
             self.ask_elsewhere(mark, fetch)
             return
         self.keep_packed((mark, fetch.base), bytes(fetch.got))
-        del self.fetches[mark]
+        self.arrived(mark, body)
+
+    def arrived(self, mark: bytes, body: bytes) -> None:
+        """It is here: whoever waits for it gets it, and may hand it on."""
+        fetch = self.fetches.pop(mark, None)
         self.put(body)
-        for then in [*fetch.then.values()]:
+        for then in [*fetch.then.values()] if fetch is not None else []:
             then(body)
         self.pump()
 
+    def brief(self, mark: bytes, base: bytes) -> bytes:
+        """A held body packed on another one, if that is little; else nothing."""
+        found = self.form(mark, base) if base in self.held and mark in self.held and mark != base else None
+        return bytes(found[0]) if found is not None and found[1] <= BRIEF_BYTES else b""
+
+    def open_brief(self, mark: bytes, base: bytes, data: bytes) -> bytes | None:
+        """The body that a frame brought packed; None where its base is not here, or where it is not what its digest
+        says: it is to be fetched then."""
+        if base not in self.held:
+            return None
+        try:
+            body = delta.unpack(data, self.held[base])
+            if digest(body) != mark:
+                raise delta.Broken("it is not what its digest says")
+        except delta.Broken as err:
+            log.error("body %s, brief: %s", mark.hex()[:8], err)
+            return None
+        self.keep_packed((mark, base), data)
+        self.arrived(mark, body)
+        return body
+
     # -- handing out ---------------------------------------------------------------------------------------
 
     def keep_packed(self, key: tuple[bytes, bytes], data: bytes) -> bytes:
@@ -316,9 +412,8 @@
 
     def link_lost(self, link: Link) -> None:
         self.serving = {key: serving for key, serving in self.serving.items() if key[0] is not link}
-        for mark, fetch in [*self.fetches.items()]:
+        for fetch in self.fetches.values():
             if fetch.link is link:
                 fetch.link = None
                 # A connect that fails at once must not be tried again and again.
-                if self.loop.time() - fetch.asked_s > TICK_S:
-                    self.ask_elsewhere(mark, fetch)
+                fetch.due_s = min(fetch.due_s, max(self.loop.time(), fetch.asked_s + QUIET_S))
--- a/cypressbeam/cli.py
+++ b/cypressbeam/cli.py
@@ -227,6 +227,24 @@
     click.echo(table(measure(edges, seed, edge_mbps, core_mbps, routes)))
 
 
+@lab.command()
+@click.option("--seeds", default=20, show_default=True, help="How often each case is played.")
+@click.option("--fault", type=click.Choice(["no other sources"]), help="What bounds a fetch, left out on purpose.")
+def fetches(seeds: int, fault: str | None) -> None:
+    """How long nodes stay behind where links are full, relays stand still or go, and versions come in a storm.
+
+    Exit code 3 if a node was behind for longer than the bound.
+    """
+    from lab.fetches import fault as seeded
+    from lab.fetches import table
+
+    quiet()
+    with seeded(fault or ""):
+        text, passed = table(seeds)
+    click.echo(text)
+    sys.exit(0 if passed else 3)
+
+
 @lab.command()
 @click.option("--sizes", default="20,80,300", show_default=True, help="Numbers of edge nodes.")
 @click.option("--cores", default=3, show_default=True, help="Machines of the core.")
--- a/cypressbeam/frames.py
+++ b/cypressbeam/frames.py
@@ -511,11 +511,25 @@
     servers: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Update(Frame):
+    """There is a committed configuration; the little that has changed since the version before is in the frame."""
+
+    KIND = 50
+    FORM = "qbbb"
+    revision: int
+    mark: bytes
+    """The body's digest."""
+    base: bytes
+    """The digest of the version before, on which the data is packed (delta.py)."""
+    data: bytes
+
+
 FRAMES: dict[int, type[Frame]] = {
     kind.KIND: kind for kind in (Join, Refer, Place, Attach, News, Servers, Beat, Suspect, Leave, Order, Outcome,
                                  Forward, Committed, Read, Reading, Found, Founded, Pulse, ViewIs, Prepare,
                                  Promise, Accept, Confirm, Confirmed, Ask, State, Want, Slice, Lacking, Released,
-                                 Alive, Ailing, Verdict)}
+                                 Alive, Ailing, Verdict, Update)}
 
 
 def unpack(kind: int, body: bytes) -> Frame:
--- a/cypressbeam/node.py
+++ b/cypressbeam/node.py
@@ -297,6 +297,8 @@
             relay.on_beat(link, frame)
         elif isinstance(frame, frames.News):
             relay.on_news(link, frame)
+        elif isinstance(frame, frames.Update):
+            relay.on_update(link, frame)
         elif isinstance(frame, frames.Servers):
             relay.on_listed(link, frame)
         elif isinstance(frame, frames.Alive):
--- a/cypressbeam/peers.py
+++ b/cypressbeam/peers.py
@@ -20,11 +20,14 @@
 #: A connect that gets no answer is given up after the first of these, and later ones after longer, up to the last: a
 #: machine without power is tried again soon, one behind a full link has the time it needs.
 CONNECT_TIMEOUT_S = (0.4, 1.6)
+#: One for bodies is waited for longer: at a full link the answer takes seconds, and a fetch goes elsewhere by itself.
+BULK_CONNECT_S = 4.0
 #: One that has not come up after so long is begun anew when its machine is heard: it runs by now.
 CONNECT_QUIET_S = 0.05
 #: A connect that hangs is joined by another one after so long, and again: the first packet of one that was begun before
-#: its machine had power is sent again only after a second, and then after two more.
-KNOCK_S = 0.2
+#: its machine had power is sent again only after a second, and then after two more. One that is waited for longer is
+#: joined by a few in all.
+KNOCK_S, KNOCKS = 0.2, 5
 #: The two connections out to a node.
 SMALL, BULK = 0, 1
 #: Bytes that may wait for a peer that does not read.
@@ -46,6 +49,8 @@
         self.connecting: asyncio.Task[None] | None = None
         self.asked_s = 0.0
         """When the first bytes were sent since the node was last heard."""
+        self.heard_s = 0.0
+        """When anything came on this connection."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -67,7 +72,7 @@
     def send_packed(self, data: bytes) -> None:
         if self.closed:
             return
-        if self.asked_s <= self.peers.heard.get(self.ip, 0.0):
+        if self.asked_s <= self.last_heard_s():
             self.asked_s = self.peers.loop.time()
         if self.transport is None:
             self.early.append(data)
@@ -75,15 +80,23 @@
             log.warning("node %s does not read; its connection is closed", self.ip)
             self.close()
         else:
-            self.transport.write(data)
+            try:
+                self.transport.write(data)
+            except RuntimeError as err:  # uvloop raises it where a connection is over and its loss was never told
+                log.warning("the connection to %s: %s", self.ip, err)
+                self.lost()
+
+    def last_heard_s(self) -> float:
+        """Of the node, on any connection. One for bodies goes by itself: after a cut it may be sent again to only after
+        seconds, while the one for frames is new, and heard."""
+        return self.heard_s if self.lane == BULK else self.peers.heard.get(self.ip, 0.0)
 
     def silent(self) -> bool:
         """Whether bytes were sent and no answer, nor anything else, has come from there for long."""
-        heard_s = self.peers.heard.get(self.ip, 0.0)
-        return self.asked_s > heard_s and self.peers.loop.time() - self.asked_s > SILENT_S
+        return self.asked_s > self.last_heard_s() and self.peers.loop.time() - self.asked_s > SILENT_S
 
     def data_received(self, data: bytes) -> None:
-        self.peers.heard[self.ip] = self.peers.loop.time()
+        self.heard_s = self.peers.heard[self.ip] = self.peers.loop.time()
         self.buffer += data
         while len(self.buffer) >= frames.HEAD.size and not self.closed:
             length, kind = frames.HEAD.unpack_from(self.buffer)
@@ -133,17 +146,17 @@
 
 
 class Knock(asyncio.Protocol):
-    """One of the connects of a link: the first that comes up becomes its connection."""
+    """One of the connects of a link, until it is certain that it has come up: then it becomes the link's connection."""
 
-    def __init__(self, link: Link) -> None:
-        self.link = link
+    def __init__(self) -> None:
+        self.early = bytearray()
+        self.lost = False
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        if self.link.transport is None:
-            transport.set_protocol(self.link)
-            self.link.connection_made(transport)
-        else:
-            cast(asyncio.Transport, transport).abort()
+    def data_received(self, data: bytes) -> None:
+        self.early += data
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.lost = True
 
 
 class LocalLink(Link):
@@ -235,23 +248,48 @@
 
     async def connect(self, link: Link) -> None:
         wait_s = self.waits.get(link.ip, CONNECT_TIMEOUT_S[0])
-        knocks: set[asyncio.Task[Any]] = set()
+        bulk = link.lane == BULK
+        knocks: list[asyncio.Task[Any]] = []
         try:
-            async with asyncio.timeout(wait_s):
-                while link.transport is None:
-                    # From the node's own address: the other side knows nodes by it, also on machines with several.
-                    knocks.add(self.loop.create_task(self.loop.create_connection(
-                        lambda: Knock(link), link.ip, self.port, local_addr=(self.ip, 0))))
-                    ended, knocks = await asyncio.wait(knocks, timeout=KNOCK_S, return_when=asyncio.FIRST_COMPLETED)
-                    for knock in ended:
-                        knock.result()
+            async with asyncio.timeout(BULK_CONNECT_S if bulk else wait_s):
+                while link.transport is None and not link.closed:
+                    if not bulk or len(knocks) < KNOCKS:
+                        knocks.append(self.knock(link))
+                    pending = [knock for knock in knocks if not knock.done()]
+                    await asyncio.wait(pending, timeout=KNOCK_S * len(knocks) if bulk else KNOCK_S,
+                                       return_when=asyncio.FIRST_COMPLETED)
+                    for knock in knocks:
+                        if knock.done() and link.transport is None:
+                            knock.result()  # raises what it failed of
+                            raise ConnectionResetError("lost as it came up")
         except (OSError, TimeoutError):
-            self.waits[link.ip] = min(2 * wait_s, CONNECT_TIMEOUT_S[1])
-            link.lost()
+            if link.transport is None:
+                self.waits[link.ip] = min(2 * wait_s, CONNECT_TIMEOUT_S[1])
+                link.lost()
         finally:
             for knock in knocks:
                 knock.cancel()
 
+    def knock(self, link: Link) -> asyncio.Task[Any]:
+        # From the node's own address: the other side knows nodes by it, also on machines with several.
+        task = self.loop.create_task(self.loop.create_connection(Knock, link.ip, self.port, local_addr=(self.ip, 0)))
+        task.add_done_callback(lambda done: self.knocked(link, done))
+        return task
+
+    def knocked(self, link: Link, task: asyncio.Task[Any]) -> None:
+        """A connect has ended. Only now is its connection a link's: cancelled a moment before, when it had come up
+        already, uvloop closes it and tells nobody. The first one counts; others are closed."""
+        if task.cancelled() or task.exception() is not None:
+            return
+        transport, knock = task.result()
+        if link.transport is not None or link.closed or knock.lost:
+            transport.abort()
+            return
+        transport.set_protocol(link)
+        link.connection_made(transport)
+        if knock.early:
+            link.data_received(bytes(knock.early))
+
     def forget(self, link: Link) -> None:
         self.links.discard(link)
         if self.out.get((link.ip, link.lane)) is link:
--- a/cypressbeam/relay.py
+++ b/cypressbeam/relay.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from cypressbeam import frames
+from cypressbeam.bodies import BRIEF_BYTES
 from cypressbeam.listing import Listing
 from cypressbeam.peers import Link, Peers
 from cypressbeam.roster import RENEW_S
@@ -30,6 +31,8 @@
 JOIN_JITTER_S = 0.1
 #: A child that lacks something asks for it again after so long.
 ASK_AGAIN_S = 0.3
+#: A node that has been behind the newest version for so long says so in its log, once.
+BEHIND_S = 1.0
 
 
 class Relay:
@@ -54,8 +57,15 @@
         """The newest version that was told of, and its body's digest."""
         self.fetching = b""
         """The digest of the one that is on its way here; one at a time, so that each is the base of the next."""
+        self.news: frames.News | frames.Update | None = None
+        """What children are told of the version that is here."""
+        self.before = 0
+        """The version that was here before it."""
+        self.behind_s, self.behind_told = 0.0, False
+        """Since when a newer version is known of than is here; 0: none is."""
         self.bodies = peers.bodies
         self.bodies.on_progress = self.on_progress
+        self.bodies.others = self.others
         self.listing = Listing()
         self.fronts = 0
         self.heard_s = 0.0
@@ -153,6 +163,7 @@
             former.close()
         self.heard_s = self.beat_s = self.loop.time()
         self.parent = self.peers.to(ip)
+        self.peers.bulk(ip)  # so that it is there when a body is to be fetched, though links are full then
         self.ask_news()
 
     def ask_news(self) -> None:
@@ -242,7 +253,9 @@
         self.children[link] = None
         revision, mark = self.newest if self.fetching else (self.revision, b"")
         if revision > frame.revision:
-            link.send(frames.News(revision, mark or self.bodies.put(self.body)))
+            mark = mark or self.bodies.put(self.body)
+            brief = self.news if not self.fetching and frame.revision == self.before else None
+            link.send(brief or frames.News(revision, mark))
         if self.listing.seq and (frame.life, frame.seq) != (self.listing.life, self.listing.seq):
             link.send(self.listing.whole())
 
@@ -250,32 +263,68 @@
         """A committed configuration. One that is not newer is no news: a node never goes back."""
         if revision <= self.revision:
             return
+        self.before, former = self.revision, self.bodies.put(self.body) if self.body else b""
         self.revision, self.body = revision, body
         mark = self.bodies.put(body)
         if revision > self.newest[0]:
             self.newest = (revision, mark)
-        if mark != self.fetching:  # otherwise children were told when it began to come
-            self.tell(frames.News(revision, mark))
+        if revision == self.newest[0]:
+            self.behind_s, self.behind_told = 0.0, False
+        brief = self.bodies.brief(mark, former)
+        self.news = frames.Update(revision, mark, former, brief) if brief else frames.News(revision, mark)
+        if brief or mark != self.fetching:  # otherwise children were told when it began to come
+            self.tell(self.news)
+        if self.fetching:
+            self.bodies.drop(self.fetching, "news")
         self.fetching = b""
         self.on_configuration(revision, body)
 
     def on_news(self, link: Link, frame: frames.News) -> None:
         """A version is to be had from a node that has it, or a part of it."""
-        if frame.revision <= self.revision or frame.revision < self.newest[0]:
-            return
-        self.newest = (frame.revision, frame.mark)
-        self.fetch(link.ip)
+        if self.told(frame.revision, frame.mark):
+            self.fetch(link.ip)
+
+    def on_update(self, link: Link, frame: frames.Update) -> None:
+        """A version, in what has changed since the one before. Who lacks that one fetches it all."""
+        if len(frame.mark) != frames.DIGEST or len(frame.data) > BRIEF_BYTES:
+            log.warning("node %s: an update of %d bytes for %d", link.ip, len(frame.data), len(frame.mark))
+            link.close()
+        elif self.told(frame.revision, frame.mark):
+            body = self.bodies.open_brief(frame.mark, frame.base, frame.data)
+            if body is None:
+                self.fetch(link.ip)
+            else:
+                self.publish(frame.revision, body)
+
+    def told(self, revision: int, mark: bytes) -> bool:
+        """Whether a version that a node tells of is to be got."""
+        if revision <= self.revision or revision < self.newest[0]:
+            return False
+        self.newest = (revision, mark)
+        self.behind_s = self.behind_s or self.loop.time()
+        return True
 
     def fetch(self, source: str) -> None:
-        """Get the newest body, one at a time. Children are told as it begins to come, and take it as it comes."""
+        """Get the newest body, one at a time. Children are told as it begins to come, and take it as it comes. An
+        older one that does not move holds up nothing: it is let go."""
         revision, mark = self.newest
-        if self.fetching and self.fetching != mark and self.bodies.comes(self.fetching):
-            return
+        if self.fetching and self.fetching != mark:
+            if self.bodies.comes(self.fetching):
+                return
+            self.bodies.drop(self.fetching, "news")
         if self.fetching != mark:
             self.fetching = mark
             self.tell(frames.News(revision, mark))
         self.bodies.need(mark, source, lambda body: self.take(revision, body, source), key="news")
 
+    def others(self) -> list[str]:
+        """Who has the newest version for sure, or soon, whatever the tree is like: the parent, and the core in any
+        order, so that those who turn there together don't all ask one machine."""
+        members = [*self.place.members] if self.place is not None else []
+        self.chance.shuffle(members)
+        known = [self.parent.ip if self.parent is not None else "", *members, self.root]
+        return [ip for ip in dict.fromkeys(known) if ip not in ("", self.settings.ip)]
+
     def take(self, revision: int, body: bytes, source: str) -> None:
         self.publish(revision, body)
         if self.newest[0] > self.revision:
@@ -311,8 +360,20 @@
         if frame.fronts and frame.fronts != self.fronts:
             self.fronts = frame.fronts
             self.on_place()
+        self.note_behind(frame.revision)
         coming = self.newest[0] if self.bodies.comes(self.fetching) else self.revision
         lacks = (frame.revision > coming
                  or (frame.seq and (frame.life, frame.seq) != (self.listing.life, self.listing.seq)))
         if lacks and now_s - self.asked_s >= ASK_AGAIN_S:
             self.ask_news()
+
+    def note_behind(self, revision: int) -> None:
+        """Say once that this node has been behind for long, and how its fetch stands."""
+        if revision <= self.revision:
+            return
+        now_s = self.loop.time()
+        self.behind_s = self.behind_s or now_s
+        if now_s - self.behind_s > BEHIND_S and not self.behind_told:
+            self.behind_told = True
+            log.warning("behind for %.1f s: version %d is here, %d is known of, %d in force; %s", now_s - self.behind_s,
+                        self.revision, self.newest[0], revision, self.bodies.how(self.fetching))
--- /dev/null
+++ b/lab/fetches.py
@@ -0,0 +1,233 @@
+"""Bodies where something is in the way: full links, relays that send nothing, parents that go, versions in a storm.
+
+One fleet on the simulated network for each case and seed. A case changes many routes, so that the change is no brief
+one, and asks of each node how long it stays behind. Until then a node may take `BOUND_S` and what its own link needs
+for the body: whatever one source does, another one has it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import functools
+import hashlib
+import statistics
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+
+import cbor2
+
+from cypressbeam import delta, frames
+from cypressbeam.bodies import Bodies
+from cypressbeam.node import GatewayNode
+from cypressbeam.peers import Link
+from lab.membership import Cluster
+from lab.simulation import Host
+from lab.up import demo_configuration
+
+EDGES, CORES, ROUTES, MORE_ROUTES = 40, 5, 400, 1200
+EDGE_MBPS, CORE_MBPS = 2.75, 30.0
+#: What a node may be behind beside the time that its link takes for the body, at half its rate (bodies.LINK_SHARE), and
+#: for what waits there, there and back.
+BOUND_S = 2.0
+#: Uploads keep so many seconds of a link waiting, both ways; how often that changes, and the share of the nodes.
+FULL_S, FULL_TICK_S, FULL_SHARE = (0.05, 0.45), 0.05, 0.5
+STORM, STORM_GAP_S = 12, 0.2
+#: What is looked at begins with the commit.
+MOST_S, COMMIT_S = 15.0, 60.0
+
+
+@dataclass
+class Found:
+    """Of one case: seconds for which nodes were behind, of all seeds together; and the bound."""
+
+    behind_s: list[float] = field(default_factory=list)
+    bound_s: float = 0.0
+    over: int = 0
+    """Nodes beyond the bound."""
+    busiest_kb: float = 0.0
+    """The most that one machine of the core sent."""
+
+
+class Wide(Cluster):
+    """Its routes have names that don't pack well: 100 bytes each, and 35 packed."""
+
+    def configuration(self, revision: int) -> bytes:
+        made = demo_configuration(revision)
+        pattern = made["channels"][0]
+        made["channels"] += [pattern | {"label": f"r-{name}", "host": f"{name[:8]}.example",
+                                        "prefix": f"/{name[8:20]}/"}
+                             for name in map(name_of, range(self.routes))]
+        return cbor2.dumps(made)
+
+
+@functools.cache
+def name_of(number: int) -> str:
+    return hashlib.sha256(f"{number}".encode()).hexdigest()[:24]
+
+
+class Fleet:
+    def __init__(self, seed: int, edges: int = EDGES) -> None:
+        self.cluster = Wide(edges, seed, EDGE_MBPS, CORE_MBPS, ROUTES, CORES)
+        self.chance = self.cluster.net.chance
+        self.full: dict[Host, float] = {}
+        self.filling = False
+        self.before = b""
+        """The version that all have at the beginning."""
+        self.ways = 0
+        """How often packets of a fetch may wait at full links, there and back."""
+
+    # -- what is in the way --------------------------------------------------------------------------------
+
+    async def fill(self) -> None:
+        """Uploads: a part of the links, now these and now those, has so much waiting."""
+        hosts = [host for host, settings in self.cluster.machines if settings.front is not None]
+        self.filling = True
+        while self.filling:
+            if not self.full or self.chance.random() < FULL_TICK_S:
+                self.full = {host: self.chance.uniform(*FULL_S)
+                             for host in self.chance.sample(hosts, int(len(hosts) * FULL_SHARE))}
+            now_s = self.cluster.loop.time()
+            for host, waits_s in self.full.items():
+                host.out_free_s = max(host.out_free_s, now_s + waits_s)
+                host.in_free_s = max(host.in_free_s, now_s + waits_s)
+            await asyncio.sleep(FULL_TICK_S)
+
+    def relays(self) -> list[GatewayNode]:
+        """Those that feed others, without the root."""
+        return [node for node in self.cluster.nodes.values() if node.relay.children and not node.relay.is_root]
+
+    def hold_still(self) -> None:
+        """Half of the relays hand nothing to edge nodes, though their beats go on: as where connections hang. Of the
+        core no more than may be lost; its own transfers go on, for it is not what is looked at."""
+        relays = self.relays()
+        held = self.chance.sample(relays, max(1, len(relays) // 2))
+        cores = [node for node in held if node.core is not None]
+        edges = {node.settings.ip for node in self.cluster.edges}
+        for node in [node for node in held if node.core is None] + cores[:CORES // 2]:
+            def on_want(link: Link, frame: frames.Want, usual: Callable[[Link, frames.Want], None]) -> None:
+                if link.ip not in edges:
+                    usual(link, frame)
+            bodies = node.peers.bodies
+            bodies.on_want = functools.partial(on_want, usual=bodies.on_want)  # type: ignore[method-assign]
+
+    def lose_a_relay(self) -> None:
+        """The one that feeds the most loses its power."""
+        node = max(self.relays(), key=lambda node: len(node.relay.children))
+        self.cluster.stop(*next(machine for machine in self.cluster.machines if machine[1] is node.settings))
+
+    # -- one case ------------------------------------------------------------------------------------------
+
+    async def settle(self) -> None:
+        cluster = self.cluster
+        for machine in cluster.machines:
+            cluster.start(*machine)
+        await cluster.until(lambda: cluster.root is not None and len(cluster.depths()) == len(cluster.edges))
+        cluster.order()
+        await cluster.known_by_all()
+        await asyncio.sleep(4.0)  # all have joined again, under the parents that they keep
+
+    def change(self) -> None:
+        """Many routes more; the places of the others in the body stay."""
+        self.cluster.routes += MORE_ROUTES
+        self.cluster.order()
+
+    async def storm(self) -> None:
+        for _ in range(STORM):
+            self.change_a_few()
+            await asyncio.sleep(STORM_GAP_S)
+
+    def change_a_few(self) -> None:
+        self.cluster.routes += MORE_ROUTES // STORM
+        self.cluster.order()
+
+    async def lag(self, found: Found) -> None:
+        """How long each node is behind the newest version, counted from its commit at the root."""
+        cluster = self.cluster
+        root = cluster.root
+        assert root is not None
+        wanted = cluster.revision
+        await cluster.until(lambda: root.relay.revision >= wanted, COMMIT_S)
+        began_s = cluster.loop.time()
+        waiting = {node.settings.node: node for node in cluster.edges}  # without those that lose their power
+        own_s = len(delta.pack(cluster.configuration(wanted), self.before)) * 8e-6 / (EDGE_MBPS / 2)
+        found.bound_s = max(found.bound_s, BOUND_S + own_s + 2 * FULL_S[1] * self.ways)
+        while waiting and (took_s := cluster.loop.time() - began_s) < MOST_S:
+            there = [name for name, node in waiting.items() if node.relay.revision >= wanted]
+            found.behind_s += [took_s for name in there if waiting.pop(name)]
+            await asyncio.sleep(0.01)
+        found.behind_s += [MOST_S] * len(waiting)
+
+    async def play(self, case: str, found: Found) -> None:
+        cluster = self.cluster
+        # In a storm an older version that moves comes first: the newest is packed on it.
+        self.ways = ("full links" in case) * (2 if "storm" in case else 1)
+        await self.settle()
+        self.before = cluster.configuration(cluster.revision)
+        cores = {host: host.bytes for host, settings in cluster.machines if settings.front is None}
+        if "full links" in case:
+            filling = cluster.loop.create_task(self.fill())
+            await asyncio.sleep(1.0)
+        if "still" in case:
+            self.hold_still()
+        if "storm" in case:
+            await self.storm()
+        else:
+            self.change()
+        if "relay goes" in case:
+            self.lose_a_relay()
+        await self.lag(found)
+        found.busiest_kb = max(found.busiest_kb, *((host.bytes - before) / 1000 for host, before in cores.items()))
+        if self.filling:
+            self.filling = False
+            await filling
+
+
+CASES = ("nothing in the way", "full links", "still relays", "still relays, full links", "a relay goes, full links",
+         "a storm of versions, full links", "a storm of versions, still relays, full links")
+
+
+def measure(case: str, seeds: Iterable[int], edges: int = EDGES) -> Found:
+    """Play a case for each seed. Raises AssertionError where a callback of a node failed."""
+    found = Found()
+    for seed in seeds:
+        fleet = Fleet(seed, edges)
+        try:
+            fleet.cluster.run(fleet.play(case, found))
+            assert not fleet.cluster.net.faults, fleet.cluster.net.faults
+        finally:
+            fleet.cluster.close()
+    found.over = sum(1 for behind_s in found.behind_s if behind_s > found.bound_s)
+    return found
+
+
+#: The fault that is seeded on purpose.
+FAULT = "no other sources"
+
+
+@contextlib.contextmanager
+def fault(name: str) -> Iterator[None]:
+    """With what bounds a fetch left out: it is asked of its first source alone. None for any other name."""
+    saved = Bodies.ask_elsewhere
+    try:
+        if name == FAULT:
+            Bodies.ask_elsewhere = Bodies.ask  # type: ignore[method-assign]
+        yield
+    finally:
+        Bodies.ask_elsewhere = saved  # type: ignore[method-assign]
+
+
+def table(seeds: int) -> tuple[str, bool]:
+    """The figures of all cases as a Markdown table, and whether all nodes were within the bound."""
+    lines = ["| case | behind, s (median / 99 % / worst) | bound, s | nodes over it"
+             " | the busiest core machine sent, kB |",
+             "| --- | ---: | ---: | ---: | ---: |"]
+    passed = True
+    for case in CASES:
+        found = measure(case, range(1, seeds + 1))
+        ranked = sorted(found.behind_s)
+        lines.append(f"| {case} | {statistics.median(ranked):.2f} / {ranked[int(len(ranked) * 0.99)]:.2f} /"
+                     f" {ranked[-1]:.2f} | {found.bound_s:.2f} | {found.over} of {len(ranked)}"
+                     f" | {found.busiest_kb:.0f} |")
+        passed = passed and not found.over
+    return "\n".join(lines), passed
--- a/lab/simulation.py
+++ b/lab/simulation.py
@@ -35,6 +35,8 @@
 #: A machine that is known but has no listener refuses at once; one without power lets the caller wait. The first packet
 #: of a connection is sent again after so long, then after twice that, and so on.
 SYN_AGAIN_S, FOREVER_S = 1.0, 3600.0
+#: The packets of a connect wait at full links like all others.
+SYN_BYTES = 60
 #: How often one that waits for a listener looks for it.
 EARLY_TICK_S = 0.005
 
@@ -181,8 +183,11 @@
         self.paused = False
         self.ended: Exception | None = None
         """How the other side has ended it, once what it sent before has been read."""
+        self.gone = False
 
     def write(self, data: Any) -> None:
+        if self.gone:
+            raise RuntimeError("the handler is closed")  # as uvloop says it
         if self.shut:
             return
         self.host.messages += 1
@@ -288,6 +293,12 @@
 
     close = abort
 
+    def vanish(self) -> None:
+        """Closed by the loop, for who connects was cancelled: its protocol is not told."""
+        told, self.protocol = self.protocol, asyncio.Protocol()
+        self.abort()
+        self.protocol, self.gone = told, True
+
     def is_closing(self) -> bool:
         return self.shut
 
@@ -361,10 +372,14 @@
 
     def through(self, one: Host, other: Host, size: int) -> float:
         """When bytes that are sent now on a connection are there: the links at both ends carry them one after
-        another, behind what waits there."""
-        one.out_free_s = max(one.out_free_s, self.loop.time()) + size * 8e-6 / one.mbps
-        other.in_free_s = max(other.in_free_s, one.out_free_s + self.delay(one, other)) + size * 8e-6 / other.mbps
-        return other.in_free_s
+        another, behind what waits there. What is late by its sender's link holds up nobody else's at the receiver."""
+        now_s = self.loop.time()
+        one.out_free_s = max(one.out_free_s, now_s) + size * 8e-6 / one.mbps
+        arrives_s = one.out_free_s + self.delay(one, other) + size * 8e-6 / other.mbps
+        if math.isinf(other.mbps):
+            return arrives_s
+        other.in_free_s = max(other.in_free_s, now_s) + size * 8e-6 / other.mbps
+        return max(arrives_s, other.in_free_s)
 
     def full(self, one: Host, other: Host) -> bool:
         return max(one.out_free_s, other.in_free_s) > self.loop.time() + FULL_S
@@ -375,14 +390,14 @@
 
     async def connect(self, loop: Loop, here: Host, factory: Callable[[], Any], ip: str, port: int) -> Any:
         there = self.hosts.get(ip)
-        await asyncio.sleep(self.delay(here, there) if there is not None else 0.0)
+        await asyncio.sleep(self.trip(here, there) if there is not None else 0.0)
         again_s = SYN_AGAIN_S
         while there is None or not self.open(here, there):
             await asyncio.sleep(again_s)
             again_s *= 2
             if again_s > FOREVER_S:
                 raise TimeoutError
-        await asyncio.sleep(self.delay(there, here))
+        await asyncio.sleep(self.trip(there, here))
         while port in there.early and port not in there.listeners and there.up:
             await asyncio.sleep(EARLY_TICK_S)
         listener = there.listeners.get(port)
@@ -394,8 +409,19 @@
         near.protocol = factory()
         loop.call_soon(far.protocol.connection_made, far, context=there.context)
         near.protocol.connection_made(near)
+        try:
+            await asyncio.sleep(0)  # who connects learns of it a turn later
+        except asyncio.CancelledError:
+            near.vanish()
+            raise
         return near, near.protocol
 
+    def trip(self, one: Host, other: Host) -> float:
+        """How long a packet of a connect is on its way, behind what waits at the links."""
+        if math.isinf(one.mbps) and math.isinf(other.mbps):
+            return self.delay(one, other)
+        return self.through(one, other, SYN_BYTES) - self.loop.time()
+
     def start(self, host: Host) -> None:
         """Give a host its power; what runs in `host.context` from now on lives there."""
         host.up = True
