Carry the epoch with everything that says who leads below the core; ask all in turn

Cause: a core machine that was cut off answered a join with the last member of the view that it held, itself; the node asked it again, for each such answer set whom it asked next, so other members and seeds had no turn until the cut ended. Nothing told an old view's word from a new one's.

Change: Refer, Place, Join, Attach, News, Servers, Beat and Verdict carry an epoch. A node keeps the highest that it has seen, takes nothing of a lower one and tells its sender. A machine of the core names a root, places nodes, serves a list or beats only while it hears a majority that holds no later view. An edge node names the root only while that one's word is fresh. Who looks for the root asks it and, 0.1 s apart, all others that may know it (search.py); an answer that names nobody ends the step. It looks already while a parent feeds it and beats stay away for 0.9 s. A child that attaches to a parent which can't vouch yet gets what it lacks with that one's next beat. A root whose view is below what nodes have seen (a restored system) proposes a view above it. `status` tells epoch and age.

A test's figure that changed: `looking` of lab scale counted parents given up as silent; nodes look before that now, so it counts searches begun, which are more. The simulated network: a connect needs the way back too, and cuts may refuse.

--- a/cypressbeam/cli.py
+++ b/cypressbeam/cli.py
@@ -154,6 +154,10 @@
     click.echo(reach(operate.restore(where, file, over)))
 
 
+#: Histories that one process plays before it tells of them.
+BATCH = 20
+
+
 @main.group()
 def lab() -> None:
     """Simulations and measurements that need no network: everything from a seed, on one machine."""
@@ -213,6 +217,32 @@
     sys.exit(3 if found is not None else 0)
 
 
+@lab.command()
+@click.option("--seeds", default=200, show_default=True, help="How many histories.")
+@click.option("--first", default=0, show_default=True, help="The first seed.")
+@click.option("--jobs", default=2, show_default=True, help="Processes at once.")
+@click.option("--fault", default="", help="Leave out a rule, by its name: it must be found.")
+def cuts(seeds: int, first: int, jobs: int, fault: str) -> None:
+    """Machines of the core cut off from each other: how soon all are under the new root and hold what was confirmed.
+
+    Exit code 3 if a bound is broken, or a node acts on the word of an epoch that is over; with --fault, if none does.
+    """
+    from lab.cuts import Report, search_with
+
+    quiet()
+    report = Report()
+    batches = [(fault, range(at, min(at + BATCH, first + seeds))) for at in range(first, first + seeds, BATCH)]
+    with ProcessPoolExecutor(jobs, initializer=quiet) as pool, click.progressbar(
+            pool.map(search_with, batches), len(batches), label=fault or "histories", file=sys.stderr) as results:
+        for part in results:
+            report.add(part)
+    click.echo(report.table())
+    for seed, text in sorted(report.broken)[:5]:
+        click.echo(f"seed {seed}: {text}")
+    click.echo(f"{report.played} histories, {len(report.broken)} broken")
+    sys.exit(3 if bool(report.broken) is not bool(fault) else 0)
+
+
 @lab.command()
 @click.option("--edges", default=77, show_default=True, help="How many edge nodes.")
 @click.option("--edge-mbps", default=2.75, show_default=True, help="What the link of an edge node carries.")
@@ -376,10 +406,6 @@
     sys.exit(3 if too_steep(found) else 0)
 
 
-#: Histories that one process plays before it tells of them.
-BATCH = 20
-
-
 def hunt(play: Callable[[tuple[str, range]], tuple[int, str] | None], name: str, seeds: range,
          jobs: int) -> tuple[int, str] | None:
     """Play histories in several processes until one fails; shows how far it is, where somebody looks on."""
--- a/cypressbeam/core.py
+++ b/cypressbeam/core.py
@@ -7,6 +7,7 @@
 import logging
 import random
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from typing import Any
 from urllib.parse import quote
 
@@ -39,6 +40,10 @@
 POLL_S = 0.9
 POLL_TIMEOUT_S = 1.0
 POLL_AGAIN_S = (0.1, 0.3)
+#: A tail that leads while nodes have seen a higher epoch than its view's (a restored system's) makes a view above it.
+ABOVE_S = 1.0
+#: Joins that came so long before this machine leads are answered then; whoever sent an older one has asked again.
+EARLY_S = 2.0
 
 
 def revision_of(body: bytes) -> int:
@@ -133,10 +138,13 @@
         self.keeper: Keeper | None = None
         self.roster = Roster(settings.node)
         self.rooted_s = self.introduced_s = 0.0
+        self.above_since_s: float | None = None
         self.poller: asyncio.Task[None] | None = None
-        self.early: dict[str, tuple[Link, frames.Join]] = {}
-        """Joins that came while this machine was about to be the root."""
+        self.early: dict[str, tuple[Link, frames.Join, float]] = {}
+        """Joins that came while this machine was about to be the root, and when."""
         self.tasks: set[asyncio.Task[Any]] = set()
+        relay.on_epoch = self.on_epoch
+        relay.vouched = self.vouched
 
     # -- start ---------------------------------------------------------------------------------------------
 
@@ -156,8 +164,73 @@
     def view(self) -> View | None:
         return self.keeper.view if self.keeper is not None else None
 
+    # -- who leads -----------------------------------------------------------------------------------------
+
+    def contact(self) -> bool:
+        """Whether a majority of the group is heard, and none of it holds a later view. Without that this machine names
+        no root and hands out no news."""
+        keeper, view = self.keeper, self.view
+        return (keeper is not None and view is not None
+                and keeper.reached(self.loop.time()) >= keeper.majority(view.group)
+                and all(heard.epoch <= view.epoch for heard in keeper.heard.values()))
+
+    def vouched(self) -> str:
+        """The root as this machine may name it to others: with a majority in reach, and no later view promised or
+        seen, the last of the chain, which is the root as soon as the view is active; without a part in the group
+        whoever feeds it; otherwise nobody."""
+        keeper, view = self.keeper, self.view
+        if keeper is None or view is None or keeper.name not in view.group:
+            return self.relay.named()
+        if not self.contact():
+            return ""
+        self.note_epoch()
+        if self.relay.is_root:
+            return self.settings.ip
+        return view.members[-1] if max(keeper.promised, self.relay.epoch) <= view.epoch else ""
+
+    def note_epoch(self) -> None:
+        """An epoch counts as seen once somebody leads in it: one that is only proposed may come to nothing."""
+        keeper, view = self.keeper, self.view
+        if keeper is not None and view is not None:
+            self.relay.learn(tuple(ip_of(name) for name in view.group), view.epoch)
+            if keeper.leads(self.loop.time()):
+                self.relay.see(view.epoch)
+
+    def on_epoch(self) -> None:
+        """A higher epoch was seen. The root carries it on at once, if it is its own view's, or leads no more."""
+        if not self.relay.is_root or self.view is None:
+            return
+        if self.view.epoch >= self.relay.epoch:
+            self.relay.tell_beat()
+        else:
+            log.warning("view %d is over: somebody leads in epoch %d", self.view.epoch, self.relay.epoch)
+            self.lead(False)
+
+    def follow(self, now_s: float) -> None:
+        """Be the root as long as the keeper says so, and no higher epoch than its view's was seen."""
+        keeper, view = self.keeper, self.view
+        if keeper is None or view is None:
+            return
+        above = keeper.root and keeper.leads(now_s) and self.relay.epoch > view.epoch
+        if not above:
+            self.above_since_s = None
+        elif self.above_since_s is None:
+            self.above_since_s = now_s
+        elif now_s - self.above_since_s >= ABOVE_S and keeper.proposal is None:
+            log.warning("view %d is below epoch %d, which nodes have seen: a higher one is proposed", view.epoch,
+                        self.relay.epoch)
+            self.above_since_s = None
+            keeper.seen_epoch = max(keeper.seen_epoch, self.relay.epoch)
+            self.carry_out(keeper.propose(now_s))
+        root = keeper.root and self.relay.epoch <= view.epoch
+        if root is not self.relay.is_root:
+            self.lead(root)
+
     def lead(self, root: bool) -> None:
         """Be the root of the relays, with the roster and the polling of the list, or no more."""
+        assert self.view is not None
+        if root is self.relay.is_root or (root and self.relay.epoch > self.view.epoch):
+            return
         if not root:
             log.warning("the root of the relays no more")
             self.relay.resign()
@@ -167,7 +240,7 @@
             return
         log.info("the root of the relays")
         self.rooted_s = self.loop.time()
-        self.relay.become_root(self.chance.getrandbits(63) | 1)
+        self.relay.become_root(self.chance.getrandbits(63) | 1, self.view.epoch)
         self.roster = Roster(self.settings.node)
         self.roster.join(frames.Join(self.settings.node, self.settings.ip, self.settings.zone, self.relay.flags, 1, "",
                                      kbps=max(int(self.settings.link_mbps * 1000), 1)), self.rooted_s)
@@ -175,8 +248,8 @@
             self.poller = self.loop.create_task(Poller(self.settings.platform, self.take_list,
                                                        self.chance).run())
         early, self.early = self.early, {}
-        for link, join in early.values():
-            if not link.closed:
+        for link, join, came_s in early.values():
+            if not link.closed and self.rooted_s - came_s <= EARLY_S:
                 self.on_join(link, join)
 
     def on_found(self, link: Link, frame: frames.Found) -> None:
@@ -202,6 +275,8 @@
         now_s = self.loop.time()
         if self.keeper is not None:
             self.carry_out(self.keeper.tick(now_s))
+            self.note_epoch()
+            self.follow(now_s)
         if self.relay.is_root:
             self.roster.nodes[self.settings.node].seen_s = now_s
             for name in self.roster.expire(now_s):
@@ -214,10 +289,12 @@
         """Tell the seeds who is the root, as far as they have not joined. After a loss of all power the seeds may be
         machines that know nobody, and all others ask them."""
         self.introduced_s = now_s
+        if not self.vouched():
+            return
         known = {node.ip for node in self.roster.nodes.values()}
         for ip, _ in self.settings.seeds:
             if ip not in known:
-                self.send(ip, frames.Refer(self.settings.ip))
+                self.send(ip, self.relay.refer())
 
     def fronts(self) -> int:
         """How many nodes carry traffic; 0 while this is not known yet."""
@@ -301,14 +378,19 @@
     def on_early_join(self, link: Link, frame: frames.Join) -> None:
         """The last of the chain is the root as soon as it leads: who has asked by then is not left to ask again."""
         if self.view is not None and self.view.members[-1:] == (self.settings.ip,):
-            self.early[frame.name] = link, frame
+            self.early[frame.name] = link, frame, self.loop.time()
 
     def on_join(self, link: Link, frame: frames.Join) -> None:
+        """A node asks the root for its place. One that leads no more, or can't tell, says so."""
+        if not self.relay.is_root or not self.vouched():
+            link.send(self.relay.refer())
+            return
         if frame.name not in self.roster.nodes:
             log.info("node %s at %s joins", frame.name, frame.ip)
         self.roster.join(frame, self.loop.time())
         assert self.view is not None
-        link.send(self.roster.place(frame.name, self.view.epoch, self.view.members, self.settings.ip, self.fronts()))
+        link.send(self.roster.place(frame.name, self.relay.epoch, self.view.members, self.settings.ip, self.fronts(),
+                                    self.relay.group))
 
     def on_suspect(self, name: str) -> None:
         """A watcher does not hear it. Where a link is full its datagrams are lost, so that alone says little: a node
@@ -323,7 +405,9 @@
             self.roster.drop(name)
 
     def take_list(self, servers: list[Server]) -> None:
+        if not self.vouched():
+            return  # whoever leads by now asks the platform too
         changes = self.relay.listing.poll(servers)
         if changes is not None:
-            self.relay.tell(changes)
+            self.relay.tell(replace(changes, epoch=self.relay.epoch))
             self.relay.on_servers()
--- a/cypressbeam/frames.py
+++ b/cypressbeam/frames.py
@@ -18,7 +18,9 @@
 U8, U16, U32, U64 = struct.Struct("!B"), struct.Struct("!H"), struct.Struct("!I"), struct.Struct("!Q")
 #: The bytes of a digest.
 DIGEST = 32
-NUMBERS = {"c": U8, "h": U16, "i": U32, "q": U64}
+NUMBERS = {"c": U8, "h": U16, "i": U32, "q": U64, "e": U64}
+#: Epochs as there can be any: none yet (0), or a proposer's place in the last eight bits below a count from one on.
+LEAST_EPOCH, MOST_EPOCH = 1 << 8, 1 << 48
 
 
 class FrameError(ValueError):
@@ -30,8 +32,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Frame:
-    """One message. `FORM` gives its fields in order: c, h, i, q numbers of 1 to 8 bytes; s text; b blob; l texts;
-    d a body, which is its digest on the stream, and after `unpack`."""
+    """One message. `FORM` gives its fields in order: c, h, i, q numbers of 1 to 8 bytes; e an epoch; s text; b blob;
+    l texts; d a body, which is its digest on the stream, and after `unpack`."""
 
     KIND: ClassVar[int] = 0
     FORM: ClassVar[str] = ""
@@ -82,7 +84,10 @@
 def _unpack(form: str, data: bytes, at: int) -> tuple[object, int]:
     if form in NUMBERS:
         number = NUMBERS[form]
-        return number.unpack_from(data, at)[0], at + number.size
+        (value,) = number.unpack_from(data, at)
+        if form == "e" and value and not LEAST_EPOCH <= value <= MOST_EPOCH:
+            raise FrameError(f"no epoch can be {value}")
+        return value, at + number.size
     if form == "l":
         (count,) = U16.unpack_from(data, at)
         at += U16.size
@@ -114,7 +119,7 @@
     """A node tells of itself, to a seed or to the root; again and again, for the root's roster is soft."""
 
     KIND = 1
-    FORM = "sssccssi"
+    FORM = "sssccssie"
     name: str
     ip: str
     zone: str
@@ -127,15 +132,22 @@
     """Of a machine with a disk: its name as a member."""
     kbps: int = 1_000_000
     """What its link carries, in kbit/s."""
+    epoch: int = 0
+    """The highest that it has seen; 0: none."""
 
 
 @dataclass(frozen=True, slots=True)
 class Refer(Frame):
-    """The root is there; an empty address: it is not known yet."""
+    """The root is there; an empty address: the sender can't vouch for any. Also told unasked: by a root to seeds, and
+    to whoever has sent something of an epoch that is over."""
 
     KIND = 2
-    FORM = "s"
+    FORM = "sel"
     root: str
+    epoch: int = 0
+    """The highest that the sender has seen somebody lead in."""
+    members: tuple[str, ...] = ()
+    """Addresses of the core's group, as the sender knows it: others to ask."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,7 +155,7 @@
     """The root tells a node its few: parents to try in this order, nodes to watch, and how many carry traffic."""
 
     KIND = 3
-    FORM = "qllllhhh"
+    FORM = "ellllhhhl"
     epoch: int
     members: tuple[str, ...]
     """Addresses of the chain, from head to tail."""
@@ -154,6 +166,8 @@
     zone_fronts: int
     index: int
     """This node's number among those that carry traffic."""
+    group: tuple[str, ...] = ()
+    """Addresses of the core's group, also of those that the chain has left out."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,11 +175,12 @@
     """A child tells its parent what it has; the parent sends what it lacks, and all news from then on."""
 
     KIND = 4
-    FORM = "sqqi"
+    FORM = "sqqie"
     name: str
     revision: int
     life: int
     seq: int
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,10 +188,11 @@
     """There is a committed configuration; its body is fetched from whoever tells of it."""
 
     KIND = 5
-    FORM = "qb"
+    FORM = "qbe"
     revision: int
     mark: bytes
     """The body's digest."""
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,12 +200,13 @@
     """Rows of the list (see listing.py): all of it, or the changes that lead from `since` to `seq`."""
 
     KIND = 6
-    FORM = "qiicb"
+    FORM = "qiicbe"
     life: int
     since: int
     seq: int
     whole: int
     rows: bytes
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -197,13 +214,15 @@
     """The root lives, and these are its newest; a child that lacks one of them attaches again."""
 
     KIND = 7
-    FORM = "qiqhi"
+    FORM = "qiqhie"
     life: int
     seq: int
     revision: int
     fronts: int
     number: int = 0
     """Rises with each beat of a life: one that comes a second time has gone in a circle."""
+    epoch: int = 0
+    """In which the root leads. It may rise within a life."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -506,9 +525,10 @@
     """Servers that fail for many nodes of a zone, from the root down the tree."""
 
     KIND = 33
-    FORM = "sl"
+    FORM = "sle"
     zone: str
     servers: tuple[str, ...]
+    epoch: int = 0
 
 
 FRAMES: dict[int, type[Frame]] = {
--- a/cypressbeam/node.py
+++ b/cypressbeam/node.py
@@ -228,7 +228,7 @@
         return {"name": settings.node, "ip": settings.ip, "zone": settings.zone,
                 "parent": relay.parent.ip if relay.parent is not None else None, "is_root": relay.is_root,
                 "children": len(relay.children), "revision": relay.revision, "servers": len(relay.listing.servers),
-                "list": relay.listing.seq, "fronts": relay.fronts,
+                "list": relay.listing.seq, "fronts": relay.fronts, "epoch": relay.epoch, "age_s": relay.age_s(),
                 "ready": self.gate.can_serve() if self.gate is not None else None}
 
     def take_configuration(self, revision: int, body: bytes) -> None:
@@ -276,12 +276,12 @@
                                          self.loop.time())
             if found:
                 log.info("servers that fail for many of %s: %s", frame.zone, " ".join(found))
-                self.relay.tell(frames.Verdict(frame.zone, tuple(found)))
+                self.relay.tell(frames.Verdict(frame.zone, tuple(found), self.relay.epoch))
         elif self.relay.parent is not None and frame.hops < MOST_HOPS:
             self.relay.parent.send(replace(frame, hops=frame.hops + 1))
 
     def on_verdict(self, link: Link, frame: frames.Verdict) -> None:
-        if link is self.relay.parent:
+        if link is self.relay.parent and not self.relay.fenced(link, frame.epoch):
             self.relay.tell(frame)
             if self.gate is not None and frame.zone == self.settings.zone:
                 self.gate.take_verdict(frame.servers)
@@ -308,7 +308,7 @@
         elif isinstance(frame, frames.Join):
             self.on_join(link, frame)
         elif isinstance(frame, frames.Refer):
-            relay.on_refer(frame)
+            relay.on_refer(link, frame)
         elif isinstance(frame, frames.Place):
             relay.on_placed(link, frame)
         elif isinstance(frame, frames.Outcome):
@@ -339,6 +339,7 @@
             core.on_core(frame)
 
     def on_join(self, link: Link, frame: frames.Join) -> None:
+        self.relay.see(frame.epoch)
         if self.relay.is_root and self.core is not None:
             self.core.on_join(link, frame)
             return
@@ -346,8 +347,7 @@
             self.core.on_early_join(link, frame)
         if self.founding is not None and frame.identity and not frame.placed:
             self.founding.candidate(frame.identity, self.loop.time())
-        members = self.members()
-        link.send(frames.Refer(members[-1] if members else ""))
+        link.send(self.relay.refer())
 
     def on_founded(self, frame: frames.Founded) -> None:
         founding = self.founding
--- a/cypressbeam/relay.py
+++ b/cypressbeam/relay.py
@@ -1,4 +1,9 @@
-"""A node's place among the others: joining, the parent that feeds it, the children it feeds, and the news itself."""
+"""A node's place among the others: joining, the parent that feeds it, the children it feeds, and the news itself.
+
+Fencing (docs/design/fencing.md): whatever says who leads, or what is in force, carries the epoch of the view under
+which it was said. A node keeps the highest epoch that it has seen, takes nothing of a lower one, and tells whoever sent
+that.
+"""
 
 from __future__ import annotations
 
@@ -6,11 +11,13 @@
 import logging
 import random
 from collections.abc import Callable
+from dataclasses import replace
 
 from cypressbeam import frames
 from cypressbeam.listing import Listing
 from cypressbeam.peers import Link, Peers
 from cypressbeam.roster import RENEW_S
+from cypressbeam.search import Search
 from cypressbeam.settings import Settings
 
 log = logging.getLogger(__name__)
@@ -23,9 +30,13 @@
 #: A relay that misses the beat itself tells its children that it lives. They stay with it for so long after the last
 #: beat: a root that is back at once finds the tree as it was. Nodes that hold each other in a circle part then.
 HOLD_S = 1.6
+#: A node that has a parent and no beat for so long looks for the root beside it: that one may lead no more.
+SEEK_S = 0.9
+#: A node vouches for the root that it knows for so long after that one's word.
+FRESH_S = 1.0
 #: A node whose event loop was so late lately asks to be no relay; how the lateness fades, each tick.
 SLOW_S, LAG_FADES = 0.3, 0.97
-#: How long an answer to a join is waited for before another node is asked.
+#: How long the answer of a root that is known is waited for before others are asked beside it.
 JOIN_S = 0.4
 JOIN_JITTER_S = 0.1
 #: A child that lacks something asks for it again after so long.
@@ -44,10 +55,28 @@
         self.chance = random.Random()
         self.place: frames.Place | None = None
         self.root = ""
+        """Who has placed this node last, or was named since, as long as it answers."""
+        self.root_asked_s = 0.0
+        """When it was asked; 0: it has answered."""
+        self.epoch = 0
+        """The highest in which anybody led, as far as was heard here; it never falls."""
+        self.fed = 0
+        """The epoch of the last beat that was taken."""
+        self.listed = 0
+        """The newest epoch in which the list that is here was in force."""
+        self.told_s: float | None = None
+        """When the root's word, a beat or a place, came last."""
+        self.group: tuple[str, ...] = ()
+        self.group_epoch = 0
+        """Addresses of the core's group, and since which epoch."""
+        self.search = Search(settings.ip)
+        self.looking = False
         self.parent: Link | None = None
         self.silences = 0  # parents that were given up for it
+        self.looked = 0  # searches for the root
         self.tried = 0  # parents of the place that were tried
-        self.children: dict[Link, None] = {}  # in the order in which they came, so that runs can be repeated
+        self.children: dict[Link, frames.Attach | None] = {}  # in the order in which they came: runs can be repeated
+        """With what each had when it came, until it was given what it lacks."""
         self.revision = 0
         self.body = b""
         self.newest = (0, b"")
@@ -65,15 +94,20 @@
         self.tick_due_s = 0.0
         self.lag_s = 0.0
         """How late the event loop was lately; it fades."""
+        self.beat_told: frames.Beat | None = None
+        """The last one that was told, or passed on."""
         self.beats: dict[int, int] = {}
         """The last beat's number, by the root's life."""
         self.asked_s = 0.0
         self.joined_s = 0.0
         self.join_due_s = 0.0
-        self.seed = 0
         self.lost = ""
         self.is_root = False
         self.leaving = False
+        self.on_epoch: Callable[[], None] = lambda: None
+        """Told when a higher epoch was seen."""
+        self.vouched: Callable[[], str] = self.named
+        """The root as this node may name it to others; a machine of the core has more to go by."""
         self.on_configuration: Callable[[int, bytes], None] = lambda revision, body: None
         self.on_servers: Callable[[], None] = lambda: None
         self.on_place: Callable[[], None] = lambda: None
@@ -99,51 +133,158 @@
         if now_s - self.beat_s > 1.5 * BEAT_S and now_s >= self.alive_due_s:
             self.alive_due_s = now_s + BEAT_S
             self.tell(frames.Alive())
-        if self.parent is None or (not self.leaving and now_s - self.joined_s >= RENEW_S):
+        self.looking = self.looking and self.seeks(now_s)
+        if self.seeks(now_s) or (not self.leaving and now_s - self.joined_s >= RENEW_S):
             self.join(now_s)
 
+    # -- fencing -------------------------------------------------------------------------------------------
+
+    def see(self, epoch: int) -> None:
+        """Somebody leads in this epoch, or has: what was said under lower ones is over."""
+        if epoch > self.epoch:
+            self.epoch = epoch
+            self.on_epoch()
+
+    def fenced(self, link: Link, epoch: int) -> bool:
+        """Whether a frame is of an epoch that is over: nothing of it is taken, and its sender learns why."""
+        if epoch < self.epoch:
+            link.send(self.refer())
+            return True
+        self.see(epoch)
+        return False
+
+    def refer(self) -> frames.Refer:
+        return frames.Refer(self.vouched(), self.epoch, self.group)
+
+    def named(self) -> str:
+        """The root, if its own word is fresh here and nobody is known to have led since; or nobody."""
+        if self.is_root:
+            return self.settings.ip
+        fresh = self.told_s is not None and self.loop.time() - self.told_s <= FRESH_S
+        return self.root if fresh and self.parent is not None and not self.behind() else ""
+
+    def behind(self) -> bool:
+        """Whether what feeds this node, and its place, are of an epoch that is over."""
+        return max(self.fed, self.place.epoch if self.place is not None else 0) < self.epoch
+
+    def standing(self) -> int:
+        """The epoch under which this node's own news stands."""
+        return self.epoch if self.is_root else self.fed
+
+    def learn(self, group: tuple[str, ...], epoch: int) -> None:
+        """Addresses of the core's group, as somebody knows it who has seen that epoch."""
+        if group and epoch >= self.group_epoch:
+            self.group, self.group_epoch = group, epoch
+
+    def age_s(self) -> float | None:
+        """Seconds since the root's word came last; None: it never did."""
+        if self.is_root:
+            return 0.0
+        return self.loop.time() - self.told_s if self.told_s is not None else None
+
     # -- joining -------------------------------------------------------------------------------------------
 
+    def seeks(self, now_s: float) -> bool:
+        """Whether the root is to be looked for: nobody feeds this node, or one whose word is over, or has none."""
+        return self.parent is None or self.behind() or now_s - self.beat_s > SEEK_S
+
     def join(self, now_s: float) -> None:
-        """Ask the root, or a seed that may know it, for a place; one at a time."""
+        """Ask for a place: anew, or again at the root that feeds this node still; the roster there is soft."""
+        if self.seeks(now_s):
+            self.seek(now_s)
+            return
         if now_s < self.join_due_s:
             return
         self.join_due_s = now_s + JOIN_S + self.chance.uniform(0.0, JOIN_JITTER_S)
-        target = self.root
-        if not target:
-            members = self.place.members if self.place is not None else ()
-            known = [*members, *(host for host, _ in self.settings.seeds)]
-            others = [host for host in known if host != self.settings.ip]
-            if not others:
-                return
-            target = others[self.seed % len(others)]
-            self.seed += 1
-        self.root = ""  # until it has answered
-        self.ask(target)
+        self.forget_silent_root(now_s)
+        if self.root:
+            self.ask_root(self.root, now_s)
+        else:
+            self.seek(now_s)
+
+    def forget_silent_root(self, now_s: float) -> None:
+        if self.root_asked_s and now_s - self.root_asked_s >= JOIN_S:
+            self.root, self.root_asked_s = "", 0.0
+
+    def seek(self, now_s: float) -> None:
+        """Ask the root that is known, and beside it one after another of all that may know it."""
+        self.looked += not self.looking
+        self.looking = True
+        self.forget_silent_root(now_s)
+        if self.root and not self.root_asked_s and now_s - self.joined_s >= JOIN_S:
+            self.ask_root(self.root, now_s)
+        target = self.search.next(now_s, *self.known(), self.fronts, self.chance)
+        if target is not None and not (target == self.root and self.root_asked_s):
+            self.ask(target)
+
+    def known(self) -> tuple[list[str], list[str]]:
+        """Who may know the root: machines of the core, and the seeds."""
+        members = self.place.members if self.place is not None else ()
+        return [*self.group, *members], [host for host, _ in self.settings.seeds]
+
+    def ask_root(self, ip: str, now_s: float) -> None:
+        """One that was named, by whomever: it is asked once, and has its time to answer."""
+        if ip != self.root or not self.root_asked_s:
+            self.root, self.root_asked_s = ip, now_s
+            self.ask(ip)
 
     def ask(self, target: str) -> None:
         settings = self.settings
         flags = self.flags | (frames.SLOW if self.lag_s > SLOW_S else 0)
         self.peers.send(target, frames.Join(settings.node, settings.ip, settings.zone, flags,
                                             int(self.place is not None), self.lost, self.identity,
-                                            max(int(settings.link_mbps * 1000), 1)))
+                                            max(int(settings.link_mbps * 1000), 1), self.epoch))
 
-    def on_refer(self, frame: frames.Refer) -> None:
-        if frame.root and frame.root != self.settings.ip and not self.root:
-            self.root = frame.root
-            self.ask(frame.root)
+    def on_refer(self, link: Link, frame: frames.Refer) -> None:
+        """Another node names the root, or nobody. One that names a root of an epoch that is over learns that."""
+        self.learn(frame.members, frame.epoch)
+        # Who names nobody is not answered: two that know no root would go on telling each other.
+        if frame.root and self.fenced(link, frame.epoch):
+            return
+        self.see(frame.epoch)
+        if self.is_root:
+            return
+        now_s = self.loop.time()
+        if link.ip == self.root and frame.root != self.root:
+            self.root, self.root_asked_s = "", 0.0  # it is the root no more, or not yet
+        if frame.root and frame.root != self.settings.ip and (self.seeks(now_s) or not self.root):
+            self.ask_root(frame.root, now_s)
         elif not frame.root:
-            self.join_due_s = self.loop.time() + self.chance.uniform(0.3, 1.0) * JOIN_JITTER_S
+            self.go_on(link.ip)
+
+    def go_on(self, ip: str) -> None:
+        """One that was asked is no help: the next one has its turn."""
+        group, seeds = self.known()
+        soon_s = self.search.no_help(ip, self.loop.time(), [*group, *seeds], self.chance)
+        if soon_s is not None:
+            self.loop.call_later(soon_s, self.seek_on)
+
+    def seek_on(self) -> None:
+        now_s = self.loop.time()
+        if not self.is_root and self.seeks(now_s):
+            self.seek(now_s)
 
     def on_placed(self, link: Link, frame: frames.Place) -> None:
-        self.joined_s = self.loop.time()
-        self.root, self.lost = link.ip, ""
+        if self.fenced(link, frame.epoch) or self.is_root:
+            return
+        now_s = self.loop.time()
+        # The root that feeds it lives, and there is no beat: the way is being mended, and is soon left if it isn't.
+        waits = self.parent is not None and now_s - self.beat_s > SEEK_S and self.fed == frame.epoch
+        self.joined_s = self.told_s = now_s
+        self.root, self.lost, self.root_asked_s = link.ip, "", 0.0
         self.place = frame
+        self.learn(frame.group or frame.members, frame.epoch)
         self.fronts = frame.fronts or self.fronts
         self.on_place()
+        if waits:
+            self.tried = -1
+            return
+        self.search.over()
         if self.parent is None or self.parent.ip not in frame.parents:
             self.tried = 0
             self.attach(frame.parents[0])
+        elif self.fed < frame.epoch:
+            self.ask_news()  # the parent may not have heard yet
 
     def attach(self, ip: str) -> None:
         """Ask a node for the news; the old parent goes."""
@@ -159,7 +300,7 @@
         self.asked_s = self.loop.time()
         if self.parent is not None:
             self.parent.send(frames.Attach(self.settings.node, self.revision, self.listing.life,
-                                           self.listing.seq))
+                                           self.listing.seq, self.epoch))
 
     def leave_parent(self) -> None:
         parent, self.parent = self.parent, None
@@ -169,17 +310,18 @@
         parent.close()
         self.join_due_s = 0.0
         self.tried += 1
-        if self.place is not None and self.tried < len(self.place.parents):
+        if self.place is not None and self.tried < len(self.place.parents) and not self.behind():
             self.attach(self.place.parents[self.tried])
             self.joined_s = 0.0  # and tell the root who was lost
         elif self.lost == self.root:
-            self.root = ""
+            self.root, self.root_asked_s = "", 0.0
 
     def link_lost(self, link: Link) -> None:
         self.children.pop(link, None)
         if link is self.parent:
             log.info("the connection to parent %s is lost", link.ip)
             self.leave_parent()
+        self.go_on(link.ip)  # if it was asked for the root
 
     def leave(self) -> None:
         """This node is going to end: others feed its children from now on; news still comes until then."""
@@ -198,13 +340,14 @@
         if link is self.parent:
             self.parent = None
             if self.root == link.ip:
-                self.root = ""
+                self.root, self.root_asked_s = "", 0.0
             self.join_due_s = 0.0
 
     # -- at the root ---------------------------------------------------------------------------------------
 
-    def become_root(self, life: int) -> None:
+    def become_root(self, life: int, epoch: int) -> None:
         """The list of this root's life goes down from here. What an earlier root told is kept until then."""
+        self.see(epoch)
         self.is_root = True
         self.listing = Listing(life)
         self.root = self.settings.ip
@@ -216,15 +359,24 @@
     def resign(self) -> None:
         """Another one is the root by now, or none: children look for it, and so does this node."""
         self.is_root = False
-        self.root = ""
+        self.root, self.root_asked_s = "", 0.0
         self.join_due_s = 0.0
         self.release()
 
     def beat(self, life: int) -> None:
+        """A root that a majority does not hear has no word to give: it only tells that it lives."""
         if self.is_root and self.listing.life == life:
             self.loop.call_later(BEAT_S, self.beat, life)
-            self.beats[life] = self.beats.get(life, 0) + 1
-            self.tell(frames.Beat(life, self.listing.seq, self.revision, self.fronts, self.beats[life]))
+            self.tell_beat()
+
+    def tell_beat(self) -> None:
+        life = self.listing.life
+        if not self.vouched():
+            self.tell(frames.Alive())
+            return
+        self.beats[life] = self.beats.get(life, 0) + 1
+        self.told_s = self.loop.time()
+        self.pass_beat(frames.Beat(life, self.listing.seq, self.revision, self.fronts, self.beats[life], self.epoch))
 
     # -- news ----------------------------------------------------------------------------------------------
 
@@ -235,16 +387,40 @@
             for child in [*self.children]:
                 child.send_packed(data)
 
+    def pass_beat(self, frame: frames.Beat) -> None:
+        """To all children; those that came while this node could not vouch for what it has get that now."""
+        self.beat_told = frame
+        self.tell(frame)
+        for link, had in [*self.children.items()]:
+            if had is not None:
+                self.serve(link, had)
+
     def on_attach(self, link: Link, frame: frames.Attach) -> None:
         if self.leaving:
             link.close()
             return
+        if frame.epoch < self.epoch:
+            link.send(self.refer())
+        self.see(frame.epoch)
+        if self.is_root and not self.vouched():
+            link.send(frames.Released())
+            return
+        self.children[link] = frame
+        if self.standing() == self.epoch:
+            self.serve(link, frame)
+
+    def serve(self, link: Link, frame: frames.Attach) -> None:
+        """What a child lacks, and the last beat while that is news."""
         self.children[link] = None
         revision, mark = self.newest if self.fetching else (self.revision, b"")
         if revision > frame.revision:
-            link.send(frames.News(revision, mark or self.bodies.put(self.body)))
-        if self.listing.seq and (frame.life, frame.seq) != (self.listing.life, self.listing.seq):
-            link.send(self.listing.whole())
+            link.send(frames.News(revision, mark or self.bodies.put(self.body), self.standing()))
+        listed = self.epoch if self.is_root else self.listed
+        if self.listing.seq and listed == self.epoch and (frame.life, frame.seq) != (
+                self.listing.life, self.listing.seq):
+            link.send(replace(self.listing.whole(), epoch=listed))
+        if self.beat_told is not None and self.beat_told.epoch == self.epoch and self.named():
+            link.send(self.beat_told)
 
     def publish(self, revision: int, body: bytes) -> None:
         """A committed configuration. One that is not newer is no news: a node never goes back."""
@@ -255,13 +431,13 @@
         if revision > self.newest[0]:
             self.newest = (revision, mark)
         if mark != self.fetching:  # otherwise children were told when it began to come
-            self.tell(frames.News(revision, mark))
+            self.tell(frames.News(revision, mark, self.standing()))
         self.fetching = b""
         self.on_configuration(revision, body)
 
     def on_news(self, link: Link, frame: frames.News) -> None:
         """A version is to be had from a node that has it, or a part of it."""
-        if frame.revision <= self.revision or frame.revision < self.newest[0]:
+        if self.fenced(link, frame.epoch) or frame.revision <= self.revision or frame.revision < self.newest[0]:
             return
         self.newest = (frame.revision, frame.mark)
         self.fetch(link.ip)
@@ -273,7 +449,7 @@
             return
         if self.fetching != mark:
             self.fetching = mark
-            self.tell(frames.News(revision, mark))
+            self.tell(frames.News(revision, mark, self.standing()))
         self.bodies.need(mark, source, lambda body: self.take(revision, body, source), key="news")
 
     def take(self, revision: int, body: bytes, source: str) -> None:
@@ -291,23 +467,29 @@
             self.heard_s = self.loop.time()
 
     def on_listed(self, link: Link, frame: frames.Servers) -> None:
-        if link is not self.parent:
+        if link is not self.parent or self.fenced(link, frame.epoch):
             return
         news = self.listing.apply(frame)
         if news is None:
             self.ask_news()
-        elif news:
+            return
+        self.listed = frame.epoch
+        if news:
             self.tell(frame)
             self.on_servers()
 
     def on_beat(self, link: Link, frame: frames.Beat) -> None:
         # Places that were told at different times can make a circle. A beat that comes again neither goes on nor
         # counts as heard, so those in a circle soon look for the root.
-        if link is not self.parent or frame.number <= self.beats.get(frame.life, 0):
+        if (link is not self.parent or self.fenced(link, frame.epoch)
+                or frame.number <= self.beats.get(frame.life, 0)):
             return
         self.beats[frame.life] = frame.number
-        now_s = self.heard_s = self.beat_s = self.loop.time()
-        self.tell(frame)
+        now_s = self.heard_s = self.beat_s = self.told_s = self.loop.time()
+        self.fed = frame.epoch
+        if (frame.life, frame.seq) == (self.listing.life, self.listing.seq):
+            self.listed = frame.epoch
+        self.pass_beat(frame)
         if frame.fronts and frame.fronts != self.fronts:
             self.fronts = frame.fronts
             self.on_place()
--- a/cypressbeam/roster.py
+++ b/cypressbeam/roster.py
@@ -141,11 +141,12 @@
         return heapq.nlargest(WATCHED, (other for other in others if other.name != name),
                               key=lambda other: weight(name, other.name))
 
-    def place(self, name: str, epoch: int, members: tuple[str, ...], root: str, fronts: int) -> frames.Place:
+    def place(self, name: str, epoch: int, members: tuple[str, ...], root: str, fronts: int,
+              group: tuple[str, ...] = ()) -> frames.Place:
         """What a node is told. `fronts` is how many carry traffic, 0 while that is not known."""
         known = self.nodes[name]
         watched = self.watches(known)
         return frames.Place(
             epoch, members, self.parents(known, root), tuple(other.ip for other in watched),
             tuple(other.name for other in watched), fronts, self.fronts(known.zone),
-            bisect_left(self.names, name) if known.flags & frames.FRONT else 0)
+            bisect_left(self.names, name) if known.flags & frames.FRONT else 0, group)
--- a/lab/scale.py
+++ b/lab/scale.py
@@ -56,7 +56,7 @@
     depth: int
     """Relays that news passes, at most."""
     looking: int
-    """Nodes that looked for another parent when the root died."""
+    """Nodes that looked for the root when it died, whether or not they left their parents for it."""
 
 
 def sent(hosts: Sequence[Host]) -> dict[Host, tuple[int, int]]:
@@ -115,19 +115,19 @@
                 (here.messages - before[here][1]) / QUIET_S)
 
     async def root_dies(self) -> tuple[float, int]:
-        """Seconds until all know the list of the root's next life, and how many looked for a parent meanwhile."""
+        """Seconds until all know the list of the root's next life, and how many looked for it meanwhile."""
         cluster = self.cluster
         root = cluster.root
         assert root is not None
         machine = next(machine for machine in cluster.machines if machine[1].node == root.settings.node)
-        before = sum(node.relay.silences for node in cluster.edges)
+        before = sum(node.relay.looked for node in cluster.edges)
         began_s = cluster.loop.time()
         cluster.stop(*machine)
         await asyncio.sleep(BACK_S)
         cluster.start(*machine)
         await cluster.until(lambda: cluster.root is not None)
         await self.drain()
-        return cluster.loop.time() - began_s, sum(node.relay.silences for node in cluster.edges) - before
+        return cluster.loop.time() - began_s, sum(node.relay.looked for node in cluster.edges) - before
 
     async def join_late(self) -> float:
         for machine in self.late:
--- a/lab/simulation.py
+++ b/lab/simulation.py
@@ -187,7 +187,9 @@
             return
         self.host.messages += 1
         self.host.bytes += len(data)
-        if self.held or not self.net.open(self.host, self.peer):
+        if self.net.refused(self.host, self.peer):
+            self.end(ConnectionResetError("cut"))
+        elif self.held or not self.net.open(self.host, self.peer):
             self.hold(bytes(data))
         else:
             self.carry(bytes(data))
@@ -330,6 +332,9 @@
         self.hosts: dict[str, Host] = {}
         self.loss = 0.0
         self.cut: Callable[[Host, Host], bool] = lambda one, other: False
+        """Whether what the one sends to the other is lost; it may hold one way only."""
+        self.refuses = False
+        """Whether cuts end connections and refuse new ones, and are not silent."""
         self.faults: Counter[str] = Counter()
         """What went wrong in callbacks: none of it may."""
 
@@ -346,6 +351,9 @@
         """Whether packets get from one to the other now. One whose process ended still answers for it."""
         return one.up and other.up and not self.cut(one, other)
 
+    def refused(self, one: Host, other: Host) -> bool:
+        return self.refuses and one.up and other.up and self.cut(one, other)
+
     def lost(self) -> bool:
         return self.loss > 0.0 and self.chance.random() < self.loss
 
@@ -377,7 +385,10 @@
         there = self.hosts.get(ip)
         await asyncio.sleep(self.delay(here, there) if there is not None else 0.0)
         again_s = SYN_AGAIN_S
-        while there is None or not self.open(here, there):
+        # Either way has to be open: the other side's answer to the first packet is waited for.
+        while there is None or not (self.open(here, there) and self.open(there, here)):
+            if there is not None and (self.refused(here, there) or self.refused(there, here)):
+                raise ConnectionRefusedError(f"{ip}:{port}")
             await asyncio.sleep(again_s)
             again_s *= 2
             if again_s > FOREVER_S:
--- /dev/null
+++ b/tests/test_cuts.py
@@ -0,0 +1,83 @@
+"""Fencing: machines of the core that are cut off, while all other nodes still reach them."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from cypressbeam import frames
+from cypressbeam.agreement import DEAD_S
+from cypressbeam.search import PAUSE_S, STEP_S, Search
+from lab import cuts
+
+pytestmark = pytest.mark.usefixtures("quiet")
+
+CASES = [
+    cuts.Case("root", "both", "silent", 8.0, "edges", 3),  # and restarted nodes know nobody else
+    cuts.Case("root", "both", "refuse", 4.0, "cut off", 3),
+    cuts.Case("root", "both", "silent", 4.0, "both", 5),
+    cuts.Case("root", "in", "silent", 4.0, "", 5),
+    cuts.Case("root", "out", "silent", 4.0, "", 3),
+    cuts.Case("head", "both", "silent", 4.0, "others", 5),
+    cuts.Case("two", "both", "refuse", 4.0, "edges", 5),
+    cuts.Case("seed", "out", "silent", 2.0, "edges", 3),
+    cuts.Case("root", "both", "silent", 0.5, "", 3),
+]
+
+
+@pytest.mark.parametrize("case", CASES, ids=lambda case: "-".join(map(str, vars(case).values())))
+def test_all_nodes_follow_the_side_that_leads_and_nobody_the_other(case: cuts.Case) -> None:
+    _, found = cuts.play(7, case, edges=12)
+    assert found.breaches == []
+    if case.way == "both" and case.who == "root" and case.lasts_s > DEAD_S:
+        assert found.root_s and found.under_s and found.newest_s
+
+
+@pytest.mark.parametrize("fault", cuts.FAULTS)
+def test_a_rule_that_is_left_out_is_noticed(fault: str) -> None:
+    assert cuts.search(range(40), fault, edges=8).broken
+
+
+@pytest.mark.parametrize("frame", [frames.Beat(1, 2, 3, 4, 5, epoch=255), frames.Refer("", 2**48 + 1, ()),
+                                   frames.Attach("n", 0, 0, 0, 2**64 - 1), frames.Place(7, (), (), (), (), 0, 0, 0)],
+                         ids=lambda frame: type(frame).__name__)
+def test_an_epoch_that_cannot_be_is_no_frame(frame: frames.Frame) -> None:
+    with pytest.raises(frames.FrameError, match="no epoch"):
+        frames.unpack(frame.KIND, frame.pack()[frames.HEAD.size:])
+
+
+GROUP, SEEDS = ("10.0.0.1", "10.1.0.1", "10.2.0.1"), ("10.0.0.1", "10.3.0.1", "10.4.0.1")
+
+
+def asked(search: Search, until_s: float, chance: random.Random, fleet: int = 77) -> list[tuple[float, str]]:
+    """Who is asked when, in steps of a tick."""
+    found = []
+    for tick in range(int(until_s / 0.01)):
+        target = search.next(tick / 100, GROUP, SEEDS, fleet, chance)
+        if target is not None:
+            found.append((tick / 100, target))
+    return found
+
+
+def test_a_round_over_all_that_may_know_ends_in_time_though_all_are_silent() -> None:
+    found = asked(Search("10.9.9.9"), 3.0, random.Random(1))
+    first = found[:5]
+    assert {ip for _, ip in first} == {*GROUP, *SEEDS} and {ip for _, ip in first[:3]} == set(GROUP)
+    assert first[-1][0] <= 5 * (1.1 * STEP_S + 0.01)
+    assert found[5][0] - first[-1][0] <= PAUSE_S[1] + 0.01
+    assert len(found) <= 3.0 / (0.8 * STEP_S)
+
+
+def test_one_that_names_nobody_gives_way_at_once_and_only_once() -> None:
+    search, chance = Search("10.9.9.9"), random.Random(1)
+    first = search.next(0.0, GROUP, (), 77, chance)
+    assert first is not None
+    soon_s = search.no_help(first, 0.001, GROUP, chance)
+    assert soon_s is not None and soon_s < 0.05
+    assert search.next(0.001 + soon_s, GROUP, (), 77, chance) not in (None, first)
+    assert search.no_help(first, 0.05, GROUP, chance) is None
+
+
+def test_a_large_fleet_that_looks_for_the_root_asks_no_more_often_than_a_small_one_can() -> None:
+    assert len(asked(Search("10.9.9.9"), 3.0, random.Random(1), fleet=2700)) * 2700 / 3.0 < 1.3 * 6000.0
