--- a/tests/test_fetches.py
+++ b/tests/test_fetches.py
@@ -179,7 +179,7 @@
         base = child.relay.bodies.put(child.relay.body)
         data = delta.pack(cluster.configuration(3) if wrong.startswith("not") else body, child.relay.body)
         frame = frames.Update(2, digest(body), digest(b"x") if wrong == "no such base" else base,
-                              b"spoilt" if wrong == "spoilt" else data)
+                              b"spoilt" if wrong == "spoilt" else data, child.relay.epoch)
         for node in cluster.nodes.values():
             node.relay.bodies.put(body)
         child.relay.bodies.held.pop(digest(body))
@@ -216,11 +216,11 @@
         source = next(node for node in cluster.nodes.values() if node.settings.ip == parent.ip)
         for node in cluster.nodes.values():
             node.peers.bodies.on_want = lambda link, frame: None  # type: ignore[method-assign]
-        cluster.at(child, child.relay.on_news, parent, frames.News(2, digest(b"nobody sends it")))
+        cluster.at(child, child.relay.on_news, parent, frames.News(2, digest(b"nobody sends it"), child.relay.epoch))
         cluster.run(asyncio.sleep(bodies.QUIET_S + 0.1))
         del source.peers.bodies.on_want
         body = cluster.configuration(3)
-        cluster.at(child, child.relay.on_news, parent, frames.News(3, source.relay.bodies.put(body)))
+        cluster.at(child, child.relay.on_news, parent, frames.News(3, source.relay.bodies.put(body), child.relay.epoch))
         cluster.run(asyncio.sleep(0.3))
         assert child.relay.revision == 3
     finally:
