Name in a test of pulses what the disk says, as the field is called now

`taken_in` is `standing`: beside no view and a view that counts the machine there is one put there while it stood by. The test asks for the same: 0, nothing on the disk yet.

--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -154,7 +154,7 @@
     assert keeper.load(None, 0, None, {}, 0.0) == []
     (told,) = keeper.on_pulse(pulse("a/0", 0, 5), 0.1)
     assert isinstance(told, Tell) and told.ip == "a" and isinstance(told.frame, frames.Pulse)
-    assert (told.frame.echo, told.frame.epoch, told.frame.taken_in, told.frame.disk) == (5, 0, 0, 1)
+    assert (told.frame.echo, told.frame.epoch, told.frame.standing, told.frame.disk) == (5, 0, 0, 1)
 
 
 def test_nobody_proposes_while_too_few_are_there_that_can_promise() -> None:
