--- a/lab/faults.py
+++ b/lab/faults.py
@@ -117,18 +117,25 @@
 
 
 @contextmanager
-def fault(name: str) -> Iterator[dict[str, Any]]:
-    """While a rule is left out; gives the options for the world."""
-    patched: list[tuple[Any, str, Any]] = []
+def patched(apply: Callable[[Patch], None] | None) -> Iterator[None]:
+    """While a rule is left out."""
+    done: list[tuple[Any, str, Any]] = []
 
     def patch(where: Any, what: str, new: Any) -> None:
-        patched.append((where, what, getattr(where, what)))
+        done.append((where, what, getattr(where, what)))
         setattr(where, what, new)
-    apply, options = FAULTS[name]
     if apply is not None:
         apply(patch)
     try:
-        yield options
+        yield
     finally:
-        for where, what, old in patched:
+        for where, what, old in reversed(done):
             setattr(where, what, old)
+
+
+@contextmanager
+def fault(name: str) -> Iterator[dict[str, Any]]:
+    """While a rule is left out; gives the options for the world."""
+    apply, options = FAULTS[name]
+    with patched(apply):
+        yield options
--- a/lab/histories.py
+++ b/lab/histories.py
@@ -117,7 +117,8 @@
 class World:
     def __init__(self, seed: int, loss: float = 0.02, lying: bool = False, same_name: bool = False,
                  copies: int = 0, large: bool = False, machines: int = len(IPS), quick: bool = False,
-                 crowd: bool = False) -> None:
+                 crowd: bool = False, standing_by: int = 0) -> None:
+        """The last of the machines may stand by: the group is the others."""
         self.large = large
         self.ips = MACHINES[:machines]
         self.way_s, self.write_s = (QUICK_WAY_S, QUICK_WRITE_S) if quick else (WAY_S, WRITE_S)
@@ -125,7 +126,8 @@
         """Bodies that each machine has, or will have: when."""
         self.chance = random.Random(f"world {seed}")
         self.loss, self.lying, self.same_name = loss, lying, same_name
-        self.enough = machines // 2 + 1
+        group = self.ips[:machines - standing_by]
+        self.enough = len(group) // 2 + 1
         """Copies that a chain must have, whatever the rules are told."""
         self.copies = copies or self.enough
         self.now_s = 0.0
@@ -163,10 +165,11 @@
         self.hurried: dict[str, float] = {}
         """Until when an operator calls again at once."""
         self.trace: list[str] = []
-        names = tuple(f"{ip}/0" for ip in self.ips)
+        names = tuple(f"{ip}/0" for ip in group)
         view = View(256, names, names)
-        for ip in self.ips:
+        for ip in group:
             self.disks[ip].view, self.disks[ip].promised = view, 256
+        for ip in self.ips:
             self.start(ip)
 
     # -- machines ------------------------------------------------------------------------------------------
@@ -654,6 +657,7 @@
 
 
 def play_in(world: World, plan: list[Step]) -> World:
+    """A plan on a world, to its end. Raises Violation with what does not hold."""
     if world.crowd is not None:
         world.crowd.begin(LASTS_S)
     for step in plan:
--- /dev/null
+++ b/lab/turnover.py
@@ -0,0 +1,262 @@
+"""Histories of a core whose members come and go: the rules of histories.py, with five machines, of which three are the
+group at first, and operators who add, remove and replace members while machines are in trouble.
+
+Beside all that histories.py checks: a view that becomes active begins with all that was committed in those below it,
+each member of its chain has it on disk, and the groups of two views that were active one after the other have
+majorities that meet. So two groups never both decide, and nothing is lost over a change.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+from typing import Any
+
+from cypressbeam import frames, members
+from cypressbeam.agreement import COUNTED, Keeper
+from cypressbeam.chain import View, ip_of
+from cypressbeam.members import ADD, REMOVE, REPLACE, Members
+from lab import faults, histories, plans
+from lab.faults import Patch
+from lab.histories import AGAIN_S, CLIENT, Violation, World, demand
+from lab.plans import IPS, MACHINES, Shape, Step
+
+LOSSES = 1
+#: Seconds for which an operator goes on asking for a change; a member that is silent for so long is gone for good.
+CHANGE_S, REPLACE_AFTER_S = 6.0, 5.0
+
+
+@dataclass
+class Asked:
+    """A change that an operator wants."""
+
+    kind: int
+    old: str
+    new: str
+    base: tuple[str, ...]
+    until_s: float
+    status: int = 0
+
+
+class Turnover(World):
+    def __init__(self, seed: int, **options: Any) -> None:
+        self.members: dict[str, Members] = {}
+        self.asked: dict[int, Asked] = {}
+        self.steps = 0
+        """Views that became active with another group than the one before."""
+        self.active: dict[int, View] = {}
+        super().__init__(seed, machines=len(MACHINES), standing_by=len(MACHINES) - len(IPS), **options)
+
+    def start(self, ip: str) -> None:
+        super().start(ip)
+        self.members[ip] = Members(self.keepers[ip], LOSSES, REPLACE_AFTER_S)
+
+    def group(self) -> tuple[str, ...]:
+        """Addresses of the newest group that anybody holds."""
+        view = self.newest_view()
+        return tuple(ip_of(name) for name in view.group) if view is not None else ()
+
+    # -- frames and time -----------------------------------------------------------------------------------
+
+    def deliver(self, ip: str, frame: frames.Frame) -> None:
+        here = self.members[ip]
+        if isinstance(frame, frames.Change):
+            self.carry_out(ip, here.order(frame, self.now_s))
+        elif isinstance(frame, frames.Level):
+            self.carry_out(ip, here.on_level(frame, self.now_s))
+        elif isinstance(frame, frames.Levelled):
+            self.carry_out(ip, here.on_levelled(frame))
+        else:
+            super().deliver(ip, frame)
+
+    def answer(self, frame: frames.Frame) -> None:
+        if not isinstance(frame, frames.Progress):
+            super().answer(frame)
+        elif frame.status != members.WAITS:
+            self.asked[frame.ident].status = frame.status
+
+    def step(self) -> None:
+        _, _, (kind, _, *rest) = self.events[0]
+        if kind == "ask":
+            self.now_s = heapq.heappop(self.events)[0]
+            self.ask(rest[0])
+        else:
+            super().step()
+
+    def tick(self, ip: str) -> None:
+        super().tick(ip)
+        self.carry_out(ip, self.members[ip].tick(self.now_s))
+
+    # -- operators of the group ------------------------------------------------------------------------------
+
+    def change(self) -> None:
+        """Some change of the group as it is now."""
+        group = self.group()
+        if not group:
+            return
+        others = [ip for ip in self.ips if ip not in group]
+        kind = self.chance.choice([ADD, REMOVE, REPLACE, REPLACE])
+        old = self.chance.choice(group) if kind != ADD else ""
+        new = self.chance.choice(others or group) if kind != REMOVE else ""
+        ident = next(self.numbers) + 1
+        self.asked[ident] = Asked(kind, old, new, group, self.now_s + CHANGE_S)
+        self.ask(ident)
+
+    def ask(self, ident: int) -> None:
+        asked = self.asked[ident]
+        if asked.status or self.now_s > asked.until_s:
+            return
+        if self.keepers:
+            self.send(CLIENT, self.chance.choice(sorted(self.keepers)),
+                      frames.Change(ident, CLIENT, asked.kind, asked.old, asked.new, asked.base))
+        self.at(AGAIN_S, "ask", "", ident)
+
+    def begin(self, step: Step) -> None:
+        if step.kind == "change":
+            self.trace.append(f"{step.at_s:7.3f} change")
+            self.change()
+        else:
+            super().begin(step)
+
+    # -- what must hold --------------------------------------------------------------------------------------
+
+    def check(self, ip: str) -> None:
+        super().check(ip)
+        keeper = self.keepers.get(ip)
+        member = keeper.member if keeper is not None else None
+        if member is not None and member.active and member.view.epoch not in self.active:
+            self.became_active(member.view)
+
+    def became_active(self, view: View) -> None:
+        """Some machine says so. One that stood still may say it long after later views."""
+        below = max((number for number, entry in self.committed.items() if entry.epoch < view.epoch), default=0)
+        demand(view.began >= below, f"epoch {view.epoch} begins with {view.began}, {below} was committed below it")
+        for name in view.chain:
+            disk = self.disks[ip_of(name)]
+            held = disk.view.epoch if disk.view is not None else 0
+            demand(disk.name != name or held >= view.epoch, f"{name} counts in epoch {view.epoch} and holds {held}")
+        self.active[view.epoch] = view
+        epochs = sorted(self.active)
+        at = epochs.index(view.epoch)
+        for before, after in itertools.pairwise(epochs[max(at - 1, 0):at + 2]):
+            one, other = (frozenset(ip_of(name) for name in self.active[epoch].group) for epoch in (before, after))
+            demand(len(one ^ other) <= 1, f"a majority of epoch {before} ({' '.join(sorted(one))}) need not meet one of"
+                                          f" {after} ({' '.join(sorted(other))})")
+            self.steps += one != other
+
+
+def make_plan(seed: int) -> list[Step]:
+    """The troubles and calls of histories.py, on all machines, and changes of the group all along."""
+    shape = Shape(wild=seed % 3 == 0, large=seed % 4 == 1, long=seed % 7 == 3)
+    chance = random.Random(f"turnover {seed}")
+    lasts_s = plans.LONG_LASTS_S if shape.long else plans.LASTS_S
+    plan = [replace(step, where=chance.choice(MACHINES)) for step in plans.troubles(shape, chance, lasts_s)]
+    for _ in range(3):  # two changes on one version at the same time, as a rule while somebody is in trouble
+        at_s = chance.choice(plan).at_s + chance.uniform(0.0, 1.5)
+        plan += [Step(at_s, "replace", "x"), Step(at_s + chance.uniform(0.0, 0.3), "replace", "y")]
+    for operator in plans.OPERATORS:
+        at_s = chance.uniform(0.1, 1.0)
+        while at_s < lasts_s:
+            plan.append(Step(at_s, chance.choice(("read", "replace", "replace")), operator))
+            at_s += chance.expovariate(1.0)
+    at_s = chance.uniform(0.3, 2.0)
+    while at_s < lasts_s:
+        plan += [Step(at_s, "change")]
+        at_s += chance.choice((0.05, 1.0, 2.0, 3.0)) + chance.uniform(0.0, 1.0)
+    if seed % 5 == 2:  # a machine that is gone for longer than one that is replaced by itself
+        plan.append(Step(chance.uniform(1.0, 10.0), "kill", chance.choice(IPS), 2.0 * REPLACE_AFTER_S))
+    return sorted(plan, key=lambda step: step.at_s)
+
+
+def play(seed: int, plan: list[Step], **options: Any) -> Turnover:
+    """One history. Raises Violation with what does not hold."""
+    world = Turnover(seed, **{"large": seed % 4 == 1} | options)
+    histories.play_in(world, plan)
+    demand(len(world.group()) >= 2 * LOSSES + 1, f"the group is {world.group()}")
+    return world
+
+
+def fails(seed: int, plan: list[Step], **options: Any) -> str | None:
+    """What does not hold, if anything."""
+    try:
+        play(seed, plan, **options)
+    except (Violation, AssertionError) as err:
+        return f"{type(err).__name__}: {err}"
+    return None
+
+
+# -- seeded faults ---------------------------------------------------------------------------------------------------
+
+
+def two_at_once(patch: Patch) -> None:
+    """A replacement is one step: the majorities of the two groups need not meet."""
+    def steps(self: members.Change) -> list[frozenset[str]]:
+        return [self.base, frozenset((self.base | {self.new}) - {self.old, ""})]
+
+    def judge(change: members.Change, known: members.Known) -> members.Verdict:
+        now = frozenset(ip_of(name) for name in known.view.group)
+        new = known.standing_by.get(change.new)
+        if change.kind != REPLACE or now != change.base or new is None:
+            return real(change, known)
+        kept = tuple(name for name in known.view.group if ip_of(name) != change.old)
+        return members.Verdict(members.WAITS, "at once", (*kept, new))
+    real = members.judge
+    patch(members.Change, "steps", steps)
+    patch(members, "judge", judge)
+
+
+def count_before_level(patch: Patch) -> None:
+    """A newcomer counts as soon as it is named: a view is active before it has it."""
+    def all_hold(self: Keeper, now_s: float) -> bool:
+        assert self.view is not None
+        return all(name == self.name or ((heard := self.heard.get(ip_of(name))) is not None and heard.name == name
+                                         and (heard.epoch == self.view.epoch or heard.standing != COUNTED))
+                   for name in self.view.chain)
+    patch(Keeper, "all_hold", all_hold)
+
+
+def step_from_any_view(patch: Patch) -> None:
+    """Any machine changes the group on top of what it holds, settled or not, and to several groups."""
+    patch(Members, "may_step", lambda self, epoch, wanted: True)
+    patch(Members, "heads", lambda self, now_s: self.keeper.member is not None)
+
+
+def a_chain_without_a_majority(patch: Patch) -> None:
+    """A chain of a changed group may hold fewer than a majority of it."""
+    patch(Keeper, "majority", lambda self, group: max(len(group) - 1, 2) // 2 + 1)
+
+
+def keep_a_proposal(patch: Patch) -> None:
+    """A proposal goes on with the group that it began with, though its machine has heard of a newer view."""
+    real = Keeper.on_view
+
+    def on_view(self: Keeper, frame: frames.ViewIs, now_s: float) -> list[Any]:
+        proposal = self.proposal
+        done = real(self, frame, now_s)
+        self.proposal = proposal
+        return done
+    patch(Keeper, "on_view", on_view)
+
+
+FAULTS: dict[str, Callable[[Patch], None]] = {
+    "two-at-once": two_at_once, "count-before-level": count_before_level, "step-from-any-view": step_from_any_view,
+    "keep-a-proposal": keep_a_proposal, "small-majority": a_chain_without_a_majority}
+
+
+def search(seeds: Iterable[int], name: str = "") -> tuple[int, str] | None:
+    """The first seed that fails, and with what; with a rule left out by its name."""
+    with faults.patched(FAULTS[name] if name else None):
+        for seed in seeds:
+            told = fails(seed, make_plan(seed))
+            if told is not None:
+                return seed, told
+    return None
+
+
+def search_with(job: tuple[str, range]) -> tuple[int, str] | None:
+    """The same for a process of its own."""
+    name, seeds = job
+    return search(seeds, name)
