--- a/cypressbeam/agreement.py
+++ b/cypressbeam/agreement.py
@@ -225,6 +225,7 @@
         self.taken_in = self.taken_in or self.name in view.group
         self.seen_epoch = max(self.seen_epoch, view.epoch)
         self.own = replace(self.own, epoch=view.epoch, promised=max(self.own.promised, view.epoch))
+        self.note_committed()
         self.marks = {name: marks for name, marks in self.marks.items() if name in view.group}
         self.refused &= set(view.group)
         self.reads.clear()  # what others have confirmed was the epoch before; callers ask again
@@ -382,6 +383,18 @@
         entry = self.newest()
         return replace(self.own, number=entry.number if entry is not None else 0)
 
+    def note_committed(self) -> None:
+        """As a view ends: what was committed in it was on the disks of its whole chain, told by pulses or not. While
+        it lasts, a pulse that is a little late tells less, and must be heard."""
+        member = self.member
+        if member is None or not member.active:
+            return
+        has = member.view.epoch, member.committed
+        for name in member.view.chain:
+            known = self.marks.get(name)
+            if known is not None and (known.epoch, known.number) < has:
+                self.marks[name] = replace(known, epoch=has[0], number=has[1])
+
     def refuses(self, name: str, told: Marks) -> bool:
         """Whether a member tells less than it told before. Its word counts for nothing then."""
         known = self.marks.get(name)
--- a/cypressbeam/operate.py
+++ b/cypressbeam/operate.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import os
 import tomllib
 from pathlib import Path
 from typing import Any
@@ -14,6 +13,7 @@
 from cypressbeam import configuration
 from cypressbeam.configuration import Channel, Configuration, Invalid
 from cypressbeam.control import READ, REPLACE
+from cypressbeam.files import write_whole
 from cypressbeam.survey import STATE
 from mallowworks.discovery import Address, ListConnection, read_address
 from mallowworks.http import Answer
@@ -211,12 +211,7 @@
     number = configuration.read(body).revision
     data = cbor2.dumps({"format": BACKUP_FORMAT, "revision": number, "digest": configuration.digest(body),
                         "epoch": told["epoch"], "body": body})
-    fresh = file.with_name(f"{file.name}.part")
-    with fresh.open("wb") as out:
-        out.write(data)
-        out.flush()
-        os.fsync(out.fileno())
-    fresh.replace(file)
+    write_whole(file, data)
     return f"revision {number} saved to {file}"
 
 
--- a/cypressbeam/store.py
+++ b/cypressbeam/store.py
@@ -8,7 +8,6 @@
 import asyncio
 import contextlib
 import logging
-import os
 import queue
 import secrets
 import sqlite3
@@ -18,7 +17,7 @@
 from pathlib import Path
 from typing import Any, Protocol, TypeVar
 
-from cypressbeam import agreement
+from cypressbeam import agreement, files
 from cypressbeam.chain import Entry, View
 from cypressbeam.configuration import digest
 from cypressbeam.marks import NO_MARKS, Marks, pack_marks, unpack_marks
@@ -36,6 +35,8 @@
 #: Codes of sqlite for a database whose bytes are wrong, as against a disk that refuses.
 TORN = (sqlite3.SQLITE_CORRUPT, sqlite3.SQLITE_NOTADB)
 DRAW_BITS = 62
+#: Bytes that the log is cut back to once all of it is in the database.
+LOG_LIMIT = 4 * 1024 * 1024
 CLOSE_TICK_S = 0.002
 T = TypeVar("T")
 
@@ -179,7 +180,7 @@
     def _prepare(self, database: Any) -> None:
         # Exclusive: no shared memory beside the log, and one process has the folder.
         for line in ("locking_mode=exclusive", "journal_mode=wal", "synchronous=full",
-                     "journal_size_limit=4194304"):
+                     f"journal_size_limit={LOG_LIMIT}"):
             database.execute(f"pragma {line}")
         (version,) = database.execute("pragma user_version").fetchone()
         if version not in (0, FORMAT):
@@ -206,8 +207,8 @@
         for suffix in BESIDE:
             beside = self.path.with_name(FILE + suffix)
             if beside.exists():
-                beside.replace(aside.with_name(aside.name + suffix))
-                sync_folder(self.path.parent)
+                files.rename(beside, aside.with_name(aside.name + suffix))
+                files.sync_folder(self.path.parent)
 
     def _set_aside(self) -> None:
         """Under a name that is free, or the last one. The database goes first, and for good: without its log it would
@@ -216,8 +217,8 @@
         if self.path.exists():
             names = self._asides()
             aside = next((name for name in names if not name.exists()), names[-1])
-            self.path.replace(aside)
-            sync_folder(self.path.parent)
+            files.rename(self.path, aside)
+            files.sync_folder(self.path.parent)
             self._move_beside(aside)
             log.error("%s is kept as %s; this machine goes on as a new one", self.path.name, aside.name)
 
@@ -293,15 +294,6 @@
         return not self.thread.is_alive()
 
 
-def sync_folder(folder: Path) -> None:
-    """Names in it that were made, changed or removed last from here on."""
-    handle = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(handle)
-    finally:
-        os.close(handle)
-
-
 def newest(taken: dict[int, bytes]) -> dict[int, bytes]:
     """The digests that are kept."""
     return dict(sorted(taken.items())[-agreement.TAKEN_KEPT:])
--- a/lab/chaos.py
+++ b/lab/chaos.py
@@ -14,7 +14,8 @@
 
 #: Edge nodes, and how many troubles one history has.
 EDGES, TROUBLES = 8, 8
-KINDS = ("core", "wiped core", "edges", "core and edges", "all", "core cut off", "edge cut off")
+KINDS = ("core", "wiped core", "edges", "core and edges", "all", "core cut off", "edge cut off", "older core",
+         "hanging core")
 #: After a trouble: the core must be whole again, and then an order taken, and its news with a list known by all.
 WHOLE_S, TAKEN_S, KNOWN_S = 14.0, 6.0, 4.0
 AGAIN_S = 0.3
@@ -45,8 +46,15 @@
         await asyncio.sleep(lasts_s)
         cluster.net.cut = lambda here, there: False
         return
+    if kind == "older core" and chance.random() < 0.5:
+        struck += [machine for machine in cluster.machines[:CORES] if machine not in struck]  # all power, one copy
     for machine in struck:
         cluster.stop(*machine)
+    disk = cluster.disks[struck[0][1].node] if "core" in kind else None
+    if kind == "older core" and disk is not None:
+        disk.kept = chance.choice([copy for copy in disk.copies if copy.identity == disk.kept.identity])
+    if kind == "hanging core" and disk is not None:
+        disk.hangs_s = chance.uniform(0.3, 6.0)
     if kind == "wiped core":
         ((host, settings),) = struck
         cluster.disks[settings.node] = Disk(f"{chance.getrandbits(48):012x}")
@@ -82,6 +90,8 @@
     """Raises Broken."""
     if await cluster.until(lambda: core_is_whole(cluster), WHOLE_S) == math.inf:
         raise Broken(f"after {after}: the core is not whole")
+    for disk in cluster.disks.values():
+        disk.copies.append(disk.kept)
     cluster.revision += 1
     ends_s = cluster.loop.time() + TAKEN_S
     while (root := cluster.root) is None or root.relay.revision < cluster.revision:
--- a/lab/simulation.py
+++ b/lab/simulation.py
@@ -419,11 +419,18 @@
     def __init__(self, identity: str, sync_s: float = 0.002) -> None:
         self.kept = Loaded(identity, 0, None, None, {})
         self.sync_s = sync_s
+        self.hangs_s = 0.0
+        """How long the next read takes."""
+        self.copies: list[Loaded] = []
+        """What it held at earlier times, for whoever puts an older copy in its place."""
         self.starts = 0
         self.raised = Marks()
         self.noted: dict[str, Marks] = {}
 
     async def load(self, anew: bool = False) -> Loaded:
+        hangs_s, self.hangs_s = self.hangs_s, 0.0
+        if hangs_s:
+            await asyncio.sleep(hangs_s)
         self.starts += 1
         if anew:
             self.kept = Loaded(f"{self.kept.identity}.{self.starts}", 0, None, None, {})
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from cypressbeam import agreement, frames
 from cypressbeam.marks import Marks, pack_marks, unpack_marks
 from lab import histories
 from lab.histories import IPS, Disk, Step, World
@@ -109,6 +110,52 @@
     assert world.disks["c"].name != "c/0" and world.keepers["c"].own_marks().number == 4
 
 
+class Weighed(World):
+    """Counts what one machine is sent: frames, and each body that they name once."""
+
+    def __init__(self, seed: int, where: str) -> None:
+        self.where, self.frames, self.named = where, 0, set[bytes]()
+        super().__init__(seed, loss=0.0)
+
+    def send(self, origin: str, ip: str, frame: frames.Frame) -> None:
+        super().send(origin, ip, frame)
+        if ip == self.where and origin in IPS:
+            self.frames += len(frame.pack())
+            self.named.add(frame.body_field())
+
+
+@pytest.mark.parametrize("how", ["its disk", "an empty one", "an older copy"])
+def test_a_member_that_was_away_for_hundreds_of_changes_is_level_at_once(how: str) -> None:
+    """By the newest entry and the digests that are kept, whatever has been in between. A torn disk is an empty one."""
+    weights = []
+    for changes in (5, 200, 2000):
+        world = Weighed(11, "c")
+        world.run(1.0)
+        change(world)
+        older = copy(world.disks["c"])
+        for _ in range(3):
+            change(world)
+        world.stop("c", wipe=how == "an empty one")
+        if how == "an older copy":
+            world.disks["c"] = older
+        for _ in range(changes):
+            change(world)
+        newest, world.frames, began_s = max(world.committed), 0, world.now_s
+        world.named.clear()
+        world.start("c")
+        world.begin(Step(0.0, "read", "y"))
+        while world.keepers["c"].own_marks().number != newest:
+            assert not world.keepers["c"].leads(world.now_s)
+            assert world.now_s - began_s < 4.0
+            world.step()
+        weights.append(world.frames + sum(map(len, world.named)))
+        world.run(world.now_s + 1.0)
+        assert (world.disks["c"].name == "c/0") is (how == "its disk")
+        (read,) = (call for call in world.calls.values() if call.operator == "y")
+        assert read.seen == world.committed[newest].revision
+    assert max(weights) < 2000 + 40 * agreement.TAKEN_KEPT * 4 and weights[2] < 1.5 * weights[1]
+
+
 def test_rules_that_trust_every_disk_show_in_some_history() -> None:
     with histories.fault("keep-an-older-copy") as options:
         found = histories.search(range(40, 60), **options)
