--- a/cypressbeam/store.py
+++ b/cypressbeam/store.py
@@ -17,15 +17,16 @@
 from pathlib import Path
 from typing import Any, Protocol, TypeVar
 
-from cypressbeam import agreement, files
+from cypressbeam import files
 from cypressbeam.chain import Entry, View
 from cypressbeam.configuration import digest
 from cypressbeam.marks import NO_MARKS, Marks, pack_marks, unpack_marks
+from cypressbeam.taken import KEPT
 
 log = logging.getLogger(__name__)
 
 FORMAT = 2
-#: Entries whose bodies are kept; of older ones the digests stay, by which a repeated order is known.
+#: Entries whose bodies are kept; of older ones the newest digests stay, by which a repeated order is known.
 BODIES_KEPT = 3
 FILE = "state.db"
 #: What belongs to the database file: its log, and the journal that there is while it is made.
@@ -264,8 +265,7 @@
             database.execute("insert into view values (?, ?, ?, ?)",
                              (view.epoch, ",".join(view.chain), ",".join(view.group), view.began))
             database.execute("delete from entry")
-            database.execute("delete from taken")
-            database.executemany("insert into taken values (?, ?)", newest(taken).items())
+            write_taken(database, taken)
             if entry is not None:
                 write_entry(database, entry)
         await self.write(save)
@@ -294,11 +294,6 @@
         return not self.thread.is_alive()
 
 
-def newest(taken: dict[int, bytes]) -> dict[int, bytes]:
-    """The digests that are kept."""
-    return dict(sorted(taken.items())[-agreement.TAKEN_KEPT:])
-
-
 def rises(marks: dict[str, Marks]) -> dict[str, Marks]:
     """Without the numbers of entries."""
     return {name: replace(mark, number=0) for name, mark in marks.items()}
@@ -308,13 +303,25 @@
     database.execute("update meta set value = max(value, ?) where key = 'promised'", (epoch,))
 
 
+def write_taken(database: Any, taken: dict[int, bytes]) -> None:
+    """These and no others; as a rule nearly all stand there already."""
+    known = dict(database.execute("select revision, digest from taken"))
+    database.executemany("delete from taken where revision = ?",
+                         [(revision,) for revision in known if revision not in taken])
+    database.executemany("insert or replace into taken values (?, ?)",
+                         [(revision, mark) for revision, mark in taken.items() if known.get(revision) != mark])
+
+
 def write_entry(database: Any, entry: Entry) -> None:
+    """As `taken.note` has it in memory: what stands above the base was refused by this disk, and is there all the
+    same."""
     mark = digest(entry.body)
+    database.execute("delete from taken where revision > ?", (entry.base,))
     database.execute("insert or replace into entry values (?, ?, ?, ?, ?, ?)",
                      (entry.number, entry.epoch, entry.revision, entry.base, mark, entry.body))
     database.execute("insert or replace into taken values (?, ?)", (entry.revision, mark))
-    database.execute("delete from taken where revision <="
-                     " (select revision from taken order by revision desc limit 1 offset ?)", (agreement.TAKEN_KEPT,))
+    database.execute("delete from taken where revision <= (select revision from taken order by revision desc"
+                     " limit 1 offset ?)", (KEPT,))
 
 
 def read_all(database: Any) -> Loaded:
@@ -332,7 +339,7 @@
     meta = dict(database.execute("select key, value from meta where key != 'tried'"))
     row = database.execute("select epoch, chain, members, began from view").fetchone()
     view = View(row[0], tuple(row[1].split(",")), tuple(row[2].split(",")), row[3]) if row else None
-    taken = dict(database.execute("select revision, digest from taken"))
+    taken = dict(database.execute("select revision, digest from taken order by revision"))
     last = None
     mark = b""
     for number, epoch, revision, base, mark, body in database.execute(
@@ -346,5 +353,5 @@
     # The first start of a disk has its incarnation on it already.
     raised = own if view is None and last is None and own.incarnation == 1 else Marks(
         own.incarnation + 1, secrets.randbits(DRAW_BITS))
-    return Loaded(str(meta["identity"]), int(meta["promised"]), view, last, newest(taken), own, raised,
+    return Loaded(str(meta["identity"]), int(meta["promised"]), view, last, taken, own, raised,
                   unpack_marks(meta.get("marks", "")))
--- a/lab/faults.py
+++ b/lab/faults.py
@@ -12,7 +12,7 @@
 from cypressbeam import agreement, frames
 from cypressbeam.agreement import Keeper
 from cypressbeam.chain import Entry, Member, Tell, View
-from lab import disks
+from lab import disks, operators
 from lab.below import Below
 
 #: Puts something new in the place of an attribute.
@@ -121,7 +121,8 @@
     "stay-the-root": (stay_the_root, {}),
     "lead-alone": (lead_alone, {}),
     "answer-by-old-words": (answer_by_old_words, {}),
-    "believe-any-epoch": (believe_any_epoch, {})}
+    "believe-any-epoch": (believe_any_epoch, {}),
+    **operators.FAULTS}
 
 
 @contextmanager
