--- a/cypressbeam/agreement.py
+++ b/cypressbeam/agreement.py
@@ -26,6 +26,7 @@
 from cypressbeam import chain, frames
 from cypressbeam import taken as digests
 from cypressbeam.chain import Entry, Member, Sync, Tell, View, ip_of
+from cypressbeam.marks import Marks
 
 #: Members ask each other for an echo this often; one is taken for lost once the last own pulse that it has echoed was
 #: sent so long ago. An echo is as old as the way there and back, and an own stall makes it older, so pulses go out more
@@ -99,7 +100,14 @@
 #: was a member, while it stood by.
 EMPTY, COUNTED, LEVEL = 0, 1, 2
 
-Action = chain.Action | SavePromise | SaveView | Lead | TryDisk
+@dataclass(frozen=True, slots=True)
+class StartAnew:
+    """This machine's disk is an older copy of itself: go on as another machine, with an empty disk."""
+
+    why: str
+
+
+Action = chain.Action | SavePromise | SaveView | Lead | TryDisk | StartAnew
 
 
 @dataclass(slots=True)
@@ -113,6 +121,9 @@
     standing: int
     at_s: float
     """When the newest of this machine's pulses that it has echoed was sent: a lease on this machine's own clock."""
+    held: int
+    """The epoch of the newest view on its disk, and the number of its newest entry."""
+    number: int
 
 
 @dataclass(slots=True)
@@ -191,6 +202,14 @@
         """When the writes that have not come back were begun."""
         self.disk_failed_s: float | None = None
         self.reads: dict[int, Asked] = {}
+        self.own = self.raised = Marks()
+        """What is on this disk; and with the incarnation that the first write of this start puts there."""
+        self.marks: dict[str, Marks] = {}
+        """The most that each other member has told, by name."""
+        self.refused: set[str] = set()
+        """Members whose disks are older than what they told."""
+        self.lacks = ""
+        """Why this machine's disk is known to have lost something, if it is."""
 
     # -- start ---------------------------------------------------------------------------------------------
 
@@ -199,11 +218,17 @@
         """What was on disk at the start."""
         self.promised, self.last, self.taken = promised, last, taken
         self.seen_epoch = promised
+        self.own = replace(self.own, promised=promised)
         self.up_s = now_s
         if view is not None:
             self.hold(view)
         return self.tick(now_s)
 
+    def remember(self, own: Marks, raised: Marks, marks: dict[str, Marks]) -> None:
+        """The incarnation on disk, the one that is put there by the first write, and what the others have told. Before
+        `load`."""
+        self.own, self.raised, self.marks = own, raised, marks
+
     def found(self, view: View, now_s: float) -> list[Action]:
         """The founding view: the first one proposed to a machine that has none is taken up."""
         if self.view is not None or self.accepting is not None or self.promised or self.name not in view.chain:
@@ -215,6 +240,10 @@
         self.view = view
         self.standing = COUNTED if self.name in view.group or self.standing == COUNTED else LEVEL
         self.seen_epoch = max(self.seen_epoch, view.epoch)
+        self.own = replace(self.own, epoch=view.epoch, promised=max(self.own.promised, view.epoch))
+        self.note_committed()
+        self.marks = {name: marks for name, marks in self.marks.items() if name in view.group}
+        self.refused &= set(view.group)
         self.reads.clear()  # what others have confirmed was the epoch before; callers ask again
         self.member = None
         if self.name in view.chain:
@@ -225,7 +254,7 @@
 
     def disk_works(self, now_s: float) -> bool:
         stalled = bool(self.writes) and now_s - self.writes[0] > STALL_S
-        return not stalled and self.disk_failed_s is None
+        return not stalled and self.disk_failed_s is None and not self.lacks
 
     def majority(self, group: tuple[str, ...]) -> int:
         return len(group) // 2 + 1
@@ -252,7 +281,8 @@
 
     def stands(self) -> bool:
         """Whether this machine's view is active, as far as it knows."""
-        return self.member is not None and self.member.active and not self.member.sealed
+        member = self.member
+        return member is not None and member.active and not member.sealed and member.level()
 
     def leads(self, now_s: float) -> bool:
         """Whether this machine's word on the state counts now: its view is active, and a majority is in reach."""
@@ -308,11 +338,13 @@
             actions.append(TryDisk())
         if self.view is None:
             return actions
+        if self.lacks and self.newer(now_s) >= self.majority(self.view.group):
+            return [*actions, StartAnew(self.lacks)]
         member = self.member
         if member is not None:
             if not member.active and not member.sealed and self.all_hold(now_s):
                 self.patience = 1
-                actions += member.activate(now_s)
+                actions += member.activate(now_s, self.most_told())
             actions += member.tick(now_s)
         if member is not None and member.is_tail() and self.stands():
             self.root_s = now_s
@@ -346,8 +378,10 @@
     def own_pulse(self, now_s: float, echo: int = 0, asks: bool = True) -> frames.Pulse:
         """With a number that is to be echoed, if it asks for that."""
         epoch = self.member.view.epoch if self.member is not None else 0
+        own = self.own_marks()
         return frames.Pulse(self.name, epoch, self.promised, int(self.disk_works(now_s)), self.standing,
-                            self.next_number(now_s) if asks else 0, echo)
+                            self.next_number(now_s) if asks else 0, echo, own.incarnation, own.draw, own.promised,
+                            own.epoch, own.number)
 
     def next_number(self, now_s: float) -> int:
         for number in [number for number, at_s in self.sent.items() if now_s - at_s > DEAD_S + ROOT_ALONE_S]:
@@ -364,11 +398,17 @@
     def on_pulse(self, frame: frames.Pulse, now_s: float) -> list[Action]:
         self.run_on(now_s)
         ip = ip_of(frame.name)
+        told = Marks(frame.incarnation, frame.draw, frame.kept, frame.held, frame.entry)
+        if self.refuses(frame.name, told):
+            return [*self.accuse(frame.name), *self.echo(ip, frame, now_s)]
         before = self.heard.get(ip)
         at_s = self.echoed_s(frame, now_s)
         if before is not None and before.name == frame.name:
             at_s = max(at_s, before.at_s)
-        self.heard[ip] = Heard(frame.name, frame.epoch, frame.promised, bool(frame.disk), frame.standing, at_s)
+        self.heard[ip] = Heard(frame.name, frame.epoch, frame.promised, bool(frame.disk), frame.standing, at_s,
+                               frame.held, frame.entry)
+        if self.shows_a_loss(frame):
+            self.lose(f"{frame.name} has entry {frame.entry} of epoch {frame.held}, and this disk {self.own_marks()}")
         self.seen_epoch = max(self.seen_epoch, frame.promised, frame.epoch)
         actions: list[Action] = []
         if self.view is not None and frame.epoch < self.view.epoch:
@@ -377,6 +417,8 @@
                 actions.append(Tell(ip, frames.ViewIs(view.epoch, view.chain, view.group)))
         elif self.member is not None and not self.member.active:
             actions += self.tick(now_s)
+        if self.member is not None and frame.held == self.member.view.epoch:
+            actions += self.member.remind(ip, frame.entry)
         return actions + self.echo(ip, frame, now_s)
 
     def echo(self, ip: str, frame: frames.Pulse, now_s: float) -> list[Action]:
@@ -403,6 +445,82 @@
         self.wrong_since_s = None
         return self.pulse(now_s)
 
+    # -- older copies of disks -----------------------------------------------------------------------------
+
+    def own_marks(self) -> Marks:
+        """What is on this disk by now."""
+        entry = self.newest()
+        return replace(self.own, number=entry.number if entry is not None else 0)
+
+    def note_committed(self) -> None:
+        """As a view ends: what was committed in it was on the disks of its whole chain, told by pulses or not. While
+        it lasts, a pulse that is a little late tells less, and must be heard."""
+        member = self.member
+        if member is None or not member.active:
+            return
+        has = member.view.epoch, member.committed
+        for name in member.view.chain:
+            known = self.marks.get(name)
+            if known is not None and (known.epoch, known.number) < has:
+                self.marks[name] = replace(known, epoch=has[0], number=has[1])
+
+    def refuses(self, name: str, told: Marks) -> bool:
+        """Whether a member tells less than it told before. Its word counts for nothing then."""
+        known = self.marks.get(name)
+        if known is not None and told.behind(known):
+            return True
+        if self.view is not None and name in self.view.group and name != self.name:
+            self.marks[name] = told
+            self.refused.discard(name)
+        return False
+
+    def accuse(self, name: str) -> list[Action]:
+        """Tell a member what it told before."""
+        self.refused.add(name)
+        known = self.marks[name]
+        return [Tell(ip_of(name), frames.StaleDisk(name, known.incarnation, known.draw, known.promised, known.epoch,
+                                                   known.number))]
+
+    def on_stale(self, frame: frames.StaleDisk, now_s: float) -> list[Action]:
+        """Another one holds that this machine has told more. An old word of ours may have come late: then not."""
+        told = Marks(frame.incarnation, frame.draw, frame.promised, frame.epoch, frame.number)
+        own = self.own_marks()
+        if frame.name == self.name and own.behind(told):
+            self.lose(f"this disk is an older copy of itself: it has {own}, and {told} was told")
+            return self.tick(now_s)
+        return []
+
+    def lose(self, why: str) -> None:
+        """This machine's word counts for nothing from now on. It starts anew, as with an empty disk, once a majority
+        has something newer: until then its old disk may be all that is left to go on with."""
+        self.lacks = self.lacks or why
+        if self.member is not None:
+            self.member.sealed = True
+
+    def newer(self, now_s: float) -> int:
+        """How many others are there that have more on their disks."""
+        own = self.own_marks()
+        return sum(1 for heard in self.heard.values()
+                   if self.heard_lately(ip_of(heard.name), now_s)
+                   and (heard.held, heard.number) > (own.epoch, own.number))
+
+    def shows_a_loss(self, frame: frames.Pulse) -> bool:
+        """Whether this disk must once have had more: within an epoch nobody has an entry that one before it in the
+        chain lacks, and an entry is only begun once all have the one before it."""
+        view, own = self.view, self.own_marks()
+        if self.member is None or view is None or not view.epoch == own.epoch == frame.held:
+            return False
+        if frame.name not in view.chain or frame.name == self.name:
+            return False
+        before = view.chain.index(frame.name) < view.chain.index(self.name)
+        return frame.entry > own.number + before
+
+    def most_told(self) -> int:
+        """The highest number that others of the chain have told in this epoch."""
+        assert self.view is not None
+        return max((heard.number for heard in self.heard.values()
+                    if heard.name in self.view.chain and heard.held == self.view.epoch), default=0)
+
     # -- mending -------------------------------------------------------------------------------------------
 
     def wrong(self, now_s: float) -> bool:
@@ -465,7 +583,7 @@
         if frame.epoch <= self.promised:
             return []
         self.seen_epoch = max(self.seen_epoch, frame.epoch)
-        if not self.may_promise():
+        if self.lacks or not self.may_promise():
             return []
         self.promised, self.promised_since = frame.epoch, frame.since
         if self.member is not None:
@@ -477,13 +595,15 @@
     def promise_saved(self, epoch: int, proposer: str, now_s: float) -> list[Action]:
         """The promise is on disk; what is told with it was on disk before."""
         self.written(now_s)
+        self.own = replace(self.own, promised=max(self.own.promised, epoch))
         if epoch != self.promised:
             return []
         view = self.view or View(0, (), ())
         entry = self.newest() or Entry(0, 0, 0, 0, b"")
         return [Tell(proposer, frames.Promise(epoch, self.name, view.epoch, view.chain, view.group, entry.number,
                                               entry.epoch, entry.revision, entry.base, entry.body,
-                                              digests.pack(self.all_taken(), self.promised_since)))]
+                                              digests.pack(self.all_taken(), self.promised_since),
+                                              self.own.incarnation, self.own.draw, self.own.epoch))]
 
     def newest(self) -> Entry | None:
         return self.member.last if self.member is not None else self.last
@@ -502,6 +622,8 @@
         proposal = self.proposal
         if proposal is None or proposal.epoch != frame.epoch or proposal.sent or frame.name not in proposal.group:
             return []
+        if self.refuses(frame.name, Marks(frame.incarnation, frame.draw, frame.epoch, frame.held, frame.number)):
+            return self.accuse(frame.name)
         if self.view is not None and frame.view > self.view.epoch:
             # Another view was made meanwhile: its group decides, so this proposal is over.
             self.proposal = None
@@ -565,7 +687,7 @@
 
     def on_accept(self, frame: frames.Accept, now_s: float) -> list[Action]:
         view = View(frame.epoch, frame.chain, frame.group, frame.number)
-        if frame.epoch < self.promised or self.name not in frame.chain:
+        if frame.epoch < self.promised or self.name not in frame.chain or self.lacks:
             return []
         if self.accepting == view or (self.view is not None and self.view.epoch >= view.epoch):
             return []
@@ -603,6 +725,14 @@
         if self.writes:
             self.writes.pop(0)
         self.disk_failed_s = None
+        self.own = replace(self.own, incarnation=self.raised.incarnation, draw=self.raised.draw)
+
+    def try_disk(self, now_s: float) -> list[Action]:
+        """Write something soon, for there is something to be kept that waits for a write."""
+        if self.writes or self.disk_failed_s is not None:
+            return []
+        self.writes.append(now_s)
+        return [TryDisk()]
 
     def disk_tried(self, now_s: float) -> list[Action]:
         self.written(now_s)
@@ -691,7 +821,7 @@
         return self.confirm(frame.ident, frame.origin, None, now_s) if self.leads(now_s) else []
 
     def on_confirm(self, frame: frames.Confirm) -> list[Action]:
-        if self.promised > frame.epoch or self.view is None or self.view.epoch > frame.epoch:
+        if self.promised > frame.epoch or self.view is None or self.view.epoch > frame.epoch or self.lacks:
             return []
         return [Tell(frame.origin, frames.Confirmed(frame.epoch, frame.ident, self.name))]
 
@@ -699,7 +829,7 @@
         asked = self.reads.get(frame.ident)
         if asked is None or now_s > asked.due_s or self.view is None or frame.epoch != self.view.epoch:
             return []
-        if frame.name in self.view.group:
+        if frame.name in self.view.group and frame.name not in self.refused:
             asked.names.add(frame.name)
         return self.answer_read(frame.ident)
 
@@ -707,7 +837,7 @@
         asked = self.reads[ident]
         member = self.member
         assert self.view is not None
-        if len(asked.names) < self.majority(self.view.group) or member is None or member.sealed:
+        if len(asked.names) < self.majority(self.view.group) or member is None or member.sealed or not member.level():
             return []
         if asked.refusal is not None:
             del self.reads[ident]
--- a/cypressbeam/frames.py
+++ b/cypressbeam/frames.py
@@ -397,7 +397,7 @@
     """A member lives: the view it holds, the epoch it has promised, whether its disk works, and what it says of it."""
 
     KIND = 18
-    FORM = "sqqccqq"
+    FORM = "sqqccqqqqqqq"
     name: str
     epoch: int
     promised: int
@@ -407,6 +407,14 @@
     """To be echoed at once; 0: not to be answered."""
     echo: int = 0
     """The number of the pulse that this one answers, or 0."""
+    incarnation: int = 0
+    """From here on: what is on the sender's disk (marks.py)."""
+    draw: int = 0
+    kept: int = 0
+    """The promise that is on disk; a higher one may be on its way there."""
+    held: int = 0
+    entry: int = 0
+    """The number of the newest entry on disk."""
 
     def check(self) -> None:
         check_member(self, self.name)
@@ -450,7 +458,7 @@
     above the revision that the proposer named (taken.py)."""
 
     KIND = 21
-    FORM = "qsqllqqqqdb"
+    FORM = "qsqllqqqqdbqqq"
     epoch: int
     name: str
     view: int
@@ -462,6 +470,10 @@
     base: int
     body: bytes
     taken: bytes
+    incarnation: int = 0
+    draw: int = 0
+    held: int = 0
+    """The epoch of the newest view on the sender's disk; `view` may be one that it was only told of."""
 
     def check(self) -> None:
         check_member(self, self.name)
@@ -731,12 +743,26 @@
     waits: str
 
 
+@dataclass(frozen=True, slots=True)
+class StaleDisk(Frame):
+    """A machine has told more than it tells now: what it told, of all that its disk must have (marks.py)."""
+
+    KIND = 48
+    FORM = "sqqqqq"
+    name: str
+    incarnation: int
+    draw: int
+    promised: int
+    epoch: int
+    number: int
+
+
 FRAMES: dict[int, type[Frame]] = {
     kind.KIND: kind for kind in (Join, Refer, Place, Attach, News, Servers, Beat, Suspect, Leave, Order, Outcome,
                                  Forward, Committed, Read, Reading, Found, Founded, Pulse, ViewIs, Prepare,
                                  Promise, Accept, Confirm, Confirmed, Ask, State, Want, Slice, Lacking, Released,
                                  Alive, Ailing, Verdict, Change, Progress, Level, Levelled, StandingBy,
-                                 Update)}
+                                 Update, StaleDisk)}
 
 
 def unpack(kind: int, body: bytes) -> Frame:
--- a/cypressbeam/operate.py
+++ b/cypressbeam/operate.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import os
 import tomllib
 from collections.abc import Callable
 from pathlib import Path
@@ -17,6 +16,7 @@
 from cypressbeam.chain import ip_of
 from cypressbeam.configuration import Channel, Configuration, Invalid
 from cypressbeam.control import MEMBERS, READ, REPLACE
+from cypressbeam.files import write_whole
 from cypressbeam.survey import STATE
 from mallowworks.discovery import Address, ListConnection, read_address
 from mallowworks.http import Answer
@@ -268,12 +268,7 @@
     number = configuration.read(body).revision
     data = cbor2.dumps({"format": BACKUP_FORMAT, "revision": number, "digest": configuration.digest(body),
                         "epoch": told["epoch"], "body": body})
-    fresh = file.with_name(f"{file.name}.part")
-    with fresh.open("wb") as out:
-        out.write(data)
-        out.flush()
-        os.fsync(out.fileno())
-    fresh.replace(file)
+    write_whole(file, data)
     return f"revision {number} saved to {file}"
 
 
--- a/lab/faults.py
+++ b/lab/faults.py
@@ -12,7 +12,7 @@
 from cypressbeam import agreement, frames
 from cypressbeam.agreement import Keeper
 from cypressbeam.chain import Entry, Member, Tell, View
-from lab import operators
+from lab import disks, operators
 from lab.below import Below
 
 #: Puts something new in the place of an attribute.
@@ -20,7 +20,9 @@
 
 
 def forget_promises(patch: Patch) -> None:
-    """A machine that comes back accepts epochs below the one that it had promised."""
+    """A machine that comes back accepts epochs below the one that it had promised, and nobody compares that with
+    what it told."""
+    disks.trust_every_disk(patch)
     real = Keeper.load
 
     def load(self: Keeper, view: View | None, promised: int, last: Entry | None, taken: dict[int, bytes],
@@ -34,6 +36,12 @@
     patch(Keeper, "may_promise", lambda self: True)
 
 
+def count_as_the_old_one(patch: Patch) -> None:
+    """A machine that lost its disk promises under its old name, and nobody compares that with what it told."""
+    disks.trust_every_disk(patch)
+    promise_with_an_empty_disk(patch)
+
+
 def acknowledge_at_the_head(patch: Patch) -> None:
     """An order is answered once its first copy is on disk."""
     real = Member.synced
@@ -100,8 +108,9 @@
 
 #: By name: what patches the rules, and the options of the world that it is played in.
 FAULTS: dict[str, tuple[Callable[[Patch], None] | None, dict[str, Any]]] = {
-    "skip-a-sync": (None, {"lying": True}),
-    "count-a-wiped-machine": (promise_with_an_empty_disk, {"same_name": True}),
+    "skip-a-sync": (disks.trust_every_disk, {"lying": True}),
+    "keep-an-older-copy": (disks.trust_every_disk, {}),
+    "count-a-wiped-machine": (count_as_the_old_one, {"same_name": True}),
     "count-a-newcomer": (promise_with_an_empty_disk, {}),
     "accept-a-lower-epoch": (forget_promises, {}),
     "acknowledge-at-the-head": (acknowledge_at_the_head, {}),
--- a/lab/histories.py
+++ b/lab/histories.py
@@ -23,9 +23,10 @@
 
 from cypressbeam import agreement, frames
 from cypressbeam import taken as digests
-from cypressbeam.agreement import Keeper, Lead, SavePromise, SaveView, TryDisk
+from cypressbeam.agreement import Keeper, Lead, SavePromise, SaveView, StartAnew, TryDisk
 from cypressbeam.chain import Entry, Publish, Sync, Tell, View, ip_of
-from lab import faults, operators
+from cypressbeam.marks import Marks
+from lab import disks, faults, operators
 from lab.below import Below, Past, Pasts, Word
 from lab.plans import BELOW, IPS, LASTS_S, MACHINES, OPERATORS, Step, make_plan, shape_of
 
@@ -55,7 +56,8 @@
 TAKES: dict[type[frames.Frame], str] = {
     frames.Pulse: "on_pulse", frames.Order: "order", frames.Forward: "forward", frames.Committed: "committed",
     frames.Read: "read", frames.ViewIs: "on_view", frames.Prepare: "on_prepare", frames.Promise: "on_promise",
-    frames.Accept: "on_accept", frames.Confirm: "on_confirm", frames.Confirmed: "on_confirmed"}
+    frames.Accept: "on_accept", frames.Confirm: "on_confirm", frames.Confirmed: "on_confirmed",
+    frames.StaleDisk: "on_stale"}
 
 
 class Violation(Exception):
@@ -85,8 +87,13 @@
     view: View | None = None
     last: Entry | None = None
     taken: dict[int, bytes] = field(default_factory=dict)
+    own: Marks = field(default_factory=Marks)
+    """The incarnation of the start that wrote last."""
+    marks: dict[str, Marks] = field(default_factory=dict)
 
-    def write(self, action: Any) -> None:
+    def write(self, action: Any, keeper: Keeper | None = None) -> None:
+        if keeper is not None:
+            self.own, self.marks = keeper.raised, dict(keeper.marks)
         if isinstance(action, Sync):
             self.last = action.entry
             digests.note(self.taken, action.entry.revision, action.entry.base, digest(action.entry.body))
@@ -134,6 +141,7 @@
         self.events: list[tuple[float, int, tuple[Any, ...]]] = []
         self.numbers = itertools.count()
         self.disks = {ip: Disk(f"{ip}/0") for ip in self.ips}
+        self.copies_of_disks = disks.Copies(seed)
         self.lives = dict.fromkeys(self.ips, 0)
         self.keepers: dict[str, Keeper] = {}
         self.pending: dict[str, list[Any]] = {ip: [] for ip in self.ips}
@@ -183,18 +191,19 @@
         self.told[ip] = 0
         self.bodies[ip] = {disk.last.body: 0.0} if disk.last is not None else {}
         keeper = self.keepers[ip] = Keeper(disk.name, self.copies, revision, digest, self.chance.random)
+        keeper.remember(disk.own, Marks(disk.own.incarnation + 1, self.lives[ip]), dict(disk.marks))
         self.carry_out(ip, keeper.load(disk.view, disk.promised, disk.last, dict(disk.taken), self.now_s))
         self.at(TICK_S, "tick", ip, self.lives[ip])
 
     def stop(self, ip: str, wipe: bool = False) -> None:
         """Power is lost. Of the writes that were under way some are on the disk, whole, though nobody was told."""
-        self.keepers.pop(ip, None)
+        keeper = self.keepers.pop(ip, None)
         self.lives[ip] += 1
         self.frozen.pop(ip, None)
         pending, self.pending[ip] = self.pending[ip], []
         if not self.lying and ip not in self.refusing and ip not in self.stalled:
             for action in pending[:self.chance.randint(0, len(pending))]:
-                self.disks[ip].write(action)
+                self.disks[ip].write(action, keeper)
         if wipe:
             self.disks[ip] = Disk(f"{ip}/0" if self.same_name else f"{ip}/{self.lives[ip]}")
 
@@ -206,6 +215,11 @@
                 self.send(ip, action.ip, action.frame)
             elif isinstance(action, Publish):
                 self.publish(ip, action.entry)
+            elif isinstance(action, StartAnew):
+                self.trace.append(f"{self.now_s:7.3f} {ip} starts anew")
+                self.stop(ip, wipe=True)
+                self.start(ip)
+                return
             elif not isinstance(action, Lead):
                 self.pending[ip].append(action)
                 self.at(self.chance.uniform(*self.write_s), "written", ip, self.lives[ip])
@@ -254,11 +268,11 @@
         keeper, action = self.keepers[ip], self.pending[ip].pop(0)
         if ip in self.refusing:
             if self.crowd is not None and self.crowd.chance.random() < 0.5:
-                self.disks[ip].write(action)  # it was the sync that failed: a later start finds the write
+                self.disks[ip].write(action, keeper)  # it was the sync that failed: a later start finds the write
             self.carry_out(ip, keeper.write_failed(action, self.now_s))
             return
         if not (self.lying and isinstance(action, Sync)):
-            self.disks[ip].write(action)
+            self.disks[ip].write(action, keeper)
         if isinstance(action, Sync):
             self.synced.setdefault((action.entry.number, action.entry.revision), []).append(action.entry)
             done = keeper.synced(action.entry, self.now_s)
@@ -426,6 +440,7 @@
             self.hurried[step.where] = step.at_s + step.for_s
             self.hurry(step.where)
         else:
+            self.copies_of_disks.take(self.disks)
             KINDS[step.kind].begin(self, step)
             self.at(step.for_s, "end", "", step)
 
@@ -509,6 +524,8 @@
     def begin(self, world: World, step: Step) -> None:
         for ip in self.which(world, step):
             world.stop(ip, wipe=step.kind == "wipe")
+        if step.kind in disks.INSTEAD.values():
+            world.copies_of_disks.put_back(world, step.where)
 
     def end(self, world: World, step: Step) -> None:
         for ip in self.which(world, step):
@@ -516,7 +533,7 @@
                 world.start(ip)
 
     def which(self, world: World, step: Step) -> tuple[str, ...]:
-        return world.ips if step.kind == "power" else (step.where,)
+        return world.ips if step.kind in ("power", disks.POWER_OLDER) else (step.where,)
 
 
 class Cut:
@@ -593,7 +610,7 @@
 
 #: By the name that steps have. Other modules may add theirs.
 KINDS: dict[str, Trouble] = {
-    **dict.fromkeys(("kill", "wipe", "power"), Stop()),
+    **dict.fromkeys(("kill", "wipe", "power", *disks.INSTEAD.values()), Stop()),
     **dict.fromkeys(("cut", "one-way", "deaf", "lead", "tail"), Cut()),
     "freeze": Freeze(), "freeze-cut": FreezeCut(), "orphan": Orphan(),
     **dict.fromkeys(("refuse", "stall"), BadDisk())}
--- a/lab/plans.py
+++ b/lab/plans.py
@@ -9,6 +9,8 @@
 import random
 from dataclasses import dataclass, replace
 
+from lab import disks
+
 MACHINES = ("a", "b", "c", "d", "e")
 IPS = MACHINES[:3]
 #: Nodes below the core.
@@ -81,7 +83,8 @@
             at_s += chance.expovariate(1.0)
     if shape.hurry_s:
         plan.append(Step(chance.uniform(0.0, 1.0), "hurry", chance.choice(OPERATORS), shape.hurry_s))
-    return sorted(plan, key=lambda step: step.at_s)
+    plan.sort(key=lambda step: step.at_s)
+    return plan if shape.wild or shape.aimed else disks.with_older_copies(seed, plan)
 
 
 def troubles(shape: Shape, chance: random.Random, lasts_s: float) -> list[Step]:
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import pytest
 
 from cypressbeam import agreement, frames
@@ -84,9 +86,10 @@
     """After all processes were killed the root waited 0.3 s for pulses that had come before it listened."""
     world = quiet_world(4)
     keeper = world.keepers["a"]
-    (told,) = keeper.on_pulse(frames.Pulse("b/0", 256, 256, 1, number=5), world.now_s)
+    asks, answers = (dataclasses.replace(world.keepers["b"].own_pulse(world.now_s), number=number) for number in (5, 0))
+    (told,) = keeper.on_pulse(asks, world.now_s)
     assert isinstance(told, Tell) and told.ip == "b" and isinstance(told.frame, frames.Pulse) and told.frame.echo == 5
-    assert keeper.on_pulse(frames.Pulse("b/0", 256, 256, 1, echo=told.frame.number), world.now_s) == []
+    assert keeper.on_pulse(dataclasses.replace(answers, echo=told.frame.number), world.now_s) == []
 
 
 def test_a_head_names_the_version_in_force_only_once_others_have_confirmed_its_epoch() -> None:
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -23,7 +23,7 @@
 
 
 def pulse(name: str, echo: int, number: int = 0) -> frames.Pulse:
-    return frames.Pulse(name, 256, 256, 1, number=number, echo=echo)
+    return frames.Pulse(name, 256, 256, 1, number=number, echo=echo, kept=256, held=256)
 
 
 def asked(actions: list[agreement.Action]) -> int:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -176,7 +176,7 @@
 
 def close(store: Store) -> None:
     store.close()
-    store.thread.shutdown(wait=True)
+    store.thread.join()
 
 
 def test_a_write_that_was_refused_and_is_there_all_the_same_was_not_taken(tmp_path: Path) -> None:
