--- a/cypressbeam/core.py
+++ b/cypressbeam/core.py
@@ -223,13 +223,14 @@
 
     def start_anew(self, why: str) -> None:
         """Go on as another machine with an empty disk, in the same process. What is on the disk is kept aside."""
-        keeper, self.keeper = self.keeper, None
+        keeper = self.keeper
         if keeper is None:
             return
         log.error("%s; it starts anew", why)
         self.known = tuple(ip_of(name) for name in keeper.view.group) if keeper.view is not None else ()
         if self.relay.is_root:
             self.lead(False)
+        self.keeper = None
         self.relay.identity = ""
         self.refused = set()
         self.spawn(self.load(anew=True))
