--- a/cypressbeam/control.py
+++ b/cypressbeam/control.py
@@ -1,6 +1,7 @@
 """Control calls: the operator's configuration, taken by any node and passed on; read back from the tail.
 
-`elsewhere` gives the address of a node that answers a read sooner, where this one's link is too thin for it.
+`elsewhere` gives the address of a node that answers a read sooner, where this one's link is too thin for it. `alone`
+tells that no machine of the core is in reach: calls are refused at once then, and callers go on to another node.
 """
 
 from __future__ import annotations
@@ -47,14 +48,15 @@
 
     def __init__(self, ip: str, view: Callable[[], tuple[str, ...]],
                  send: Callable[[str, frames.Frame], None], survey: Survey,
-                 elsewhere: Callable[[], Address | None] = lambda: None) -> None:
+                 elsewhere: Callable[[], Address | None] = lambda: None,
+                 alone: Callable[[], bool] = lambda: False) -> None:
         self.loop: asyncio.AbstractEventLoop = asyncio.get_running_loop()
         self.now_us = Clock()
         self.ip = ip
         self.view = view
         self.send = send
         self.survey = survey
-        self.elsewhere = elsewhere
+        self.elsewhere, self.alone = elsewhere, alone
         self.chance = random.SystemRandom()
         self.calls: dict[str, Call] = {}
 
@@ -95,6 +97,8 @@
     def pass_on(self, frame: frames.Order | frames.Read, connection: ClientConnection) -> Answer | None:
         if not self.view():
             return unavailable("the chain is not known here yet")
+        if self.alone():
+            return unavailable("no machine of the core is in reach")
         name = str(frame.ident)
         connection.request = name
         self.calls[name] = Call(connection, frame, self.loop.time() + PATIENCE_S)
--- a/cypressbeam/node.py
+++ b/cypressbeam/node.py
@@ -41,6 +41,8 @@
 FOUNDING_TICK_S = 0.1
 #: A node whose link would take longer for the whole configuration sends those who read it to the core.
 READ_S = 0.1
+#: A node that has heard no machine that may know the root for so long, and has no parent, takes no calls of operators.
+ALONE_S = 3.0
 #: How often the settings file is looked at.
 FILE_TICK_S = 1.0
 #: Faults of servers are gathered for so long before they are reported, so many at once, over so many relays at most.
@@ -91,7 +93,8 @@
         if settings.state_dir is not None:
             self.core = Core(settings, self.relay, self.peers.send, store or Store(settings.state_dir))
         self.survey = Survey(settings.ip, self.members, self.tell, self.peers.send)
-        self.control = Control(settings.ip, self.members, self.peers.send, self.survey, self.better_reader)
+        self.control = Control(settings.ip, self.members, self.peers.send, self.survey, self.better_reader,
+                               self.alone)
         self.founding: Founding | None = None
         self.verdicts = Verdicts()
         self.faults: dict[str, None] = {}
@@ -222,6 +225,14 @@
             return None
         return self.relay.chance.choice(members), control[1]
 
+    def alone(self) -> bool:
+        """Whether this node has looked for the root for long, and heard none of those that may know it."""
+        relay, now_s = self.relay, self.loop.time()
+        if self.core is not None or relay.parent is not None or now_s - (relay.told_s or 0.0) < ALONE_S:
+            return False
+        group, seeds = relay.known()
+        return all(now_s - self.peers.heard.get(ip, 0.0) > ALONE_S for ip in [*group, *seeds])
+
     def tell(self) -> dict[str, Any]:
         """This node for an operator, in what JSON can hold."""
         relay, settings = self.relay, self.settings
--- a/cypressbeam/operate.py
+++ b/cypressbeam/operate.py
@@ -71,6 +71,8 @@
     node = told["node"]
     lines = [f"node {node['name']} at {node['ip']}: revision {node['revision']}, {node['servers']} servers"
              f" (list {node['list']}), news from {node['parent'] or 'itself'}, {node['fronts']} nodes carry traffic",
+             f"it has seen epoch {node['epoch']}, and the root's word "
+             + (f"{node['age_s']:.1f} s ago" if node["age_s"] is not None else "never"),
              f"epoch {told['epoch']}, chain {' > '.join(told['chain']) or 'not known'}"]
     for member in told["members"]:
         if not member["answers"]:
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
+from typing import cast
 
 import pytest
 
@@ -10,6 +12,8 @@
 from cypressbeam.agreement import DEAD_S
 from cypressbeam.search import PAUSE_S, STEP_S, Search
 from lab import cuts
+from lab.membership import Cluster
+from mallowworks.frontend import ClientConnection
 
 pytestmark = pytest.mark.usefixtures("quiet")
 
@@ -81,3 +85,58 @@
 
 def test_a_large_fleet_that_looks_for_the_root_asks_no_more_often_than_a_small_one_can() -> None:
     assert len(asked(Search("10.9.9.9"), 3.0, random.Random(1), fleet=2700)) * 2700 / 3.0 < 1.3 * 6000.0
+
+
+def test_a_node_that_reaches_nobody_tells_its_age_and_takes_no_orders_until_it_does() -> None:
+    cluster = Cluster(6, 1)
+
+    async def scenario() -> None:
+        for machine in cluster.machines:
+            cluster.start(*machine)
+        await cluster.until(lambda: cluster.root is not None and len(cluster.depths()) == 6)
+        cluster.order()
+        await cluster.known_by_all()
+        node = cluster.edges[0]
+        told = node.tell()
+        assert told["epoch"] >= 256 and told["age_s"] < 1.0 and not node.alone()
+        lost = {node.settings.ip}
+        cluster.net.cut = lambda one, other: (one.ip in lost) != (other.ip in lost)
+        await asyncio.sleep(5.0)
+        assert node.relay.revision == 1 and 4.0 < node.tell()["age_s"] < 5.5 and node.alone()
+        answer = node.control.pass_on(frames.Order(1, node.settings.ip, 1, b""), cast(ClientConnection, None))
+        assert answer is not None and answer.status == 503 and (b"Retry-After", b"0.3") in answer.headers
+        cluster.net.cut = lambda one, other: False
+        assert await cluster.until(lambda: not node.alone() and node.tell()["age_s"] < 0.5) < 2.0
+    try:
+        cluster.run(scenario())
+        assert not cluster.net.faults
+    finally:
+        cluster.close()
+
+
+def test_a_system_that_begins_anew_below_what_its_nodes_have_seen_makes_a_view_above_it() -> None:
+    """All disks of the core are new, and edge nodes go on: they take nothing of an epoch below the old system's."""
+    cluster = Cluster(6, 1)
+
+    async def scenario() -> None:
+        for machine in cluster.machines:
+            cluster.start(*machine)
+        await cluster.until(lambda: cluster.root is not None and len(cluster.depths()) == 6)
+        for node in cluster.edges:
+            node.relay.see(9 << 8)
+        cores = cluster.machines[:3]
+        for machine in cores:
+            cluster.stop(*machine)
+            del cluster.disks[machine[1].node]
+        await asyncio.sleep(1.0)
+        for machine in cores:
+            cluster.start(*machine)
+        assert await cluster.until(lambda: cluster.root is not None and cluster.root.relay.epoch > 9 << 8
+                                   and len(cluster.depths()) == 6) < 6.0
+        cluster.order()
+        assert await cluster.known_by_all() < 3.0
+    try:
+        cluster.run(scenario())
+        assert not cluster.net.faults
+    finally:
+        cluster.close()
--- a/tests/test_operate.py
+++ b/tests/test_operate.py
@@ -32,6 +32,7 @@
             told = await operate.state(made.edges[0].control)
             assert [member["ip"] for member in told["members"] if not member["answers"]] == [lost.ip]
             assert f"{lost.ip:15} does not answer" in operate.describe_state(told)
+            assert f"it has seen epoch {told['node']['epoch']}, and the root's word" in operate.describe_state(told)
     run(scenario())
 
 
