--- a/cypressbeam/cli.py
+++ b/cypressbeam/cli.py
@@ -376,6 +376,38 @@
     sys.exit(3 if too_steep(found) else 0)
 
 
+@lab.command()
+@click.option("--nodes", default=300, show_default=True, help="Hollow nodes.")
+@click.option("--processes", default=8, show_default=True, help="Processes that hold them.")
+@click.option("--real", default=4, show_default=True, help="Whole edge nodes among them, a process each.")
+@click.option("--cores", default=3, show_default=True, help="Machines of the core.")
+@click.option("--routes", default=200, show_default=True, help="Routes of the configuration.")
+@click.option("--servers", default=100, show_default=True, help="Servers on the platform's list.")
+@click.option("--services", default=0, show_default=True, help="Services of the configuration, beside two.")
+@click.option("--hosts", default=60, show_default=True, help="Hosts (tenants) of the configuration.")
+@click.option("--changes", default=5, show_default=True, help="Changes of a route, and of a server, one by one.")
+@click.option("--quiet-s", default=10.0, show_default=True, help="Seconds in which nothing happens.")
+@click.option("--most-s", default=180.0, show_default=True, help="After so long all is ended.")
+@click.option("--json", "plain", is_flag=True, help="For programs.")
+def hollow(nodes: int, processes: int, real: int, cores: int, routes: int, servers: int, services: int, hosts: int,
+           changes: int, quiet_s: float, most_s: float, plain: bool) -> None:
+    """Control parts of hundreds of nodes on real sockets, many in a process, with whole nodes among them.
+
+    Exit code 1 if it was not done in time, 2 if it is more than the machine is to bear.
+    """
+    from dataclasses import asdict
+
+    from lab.hollow import Plan, TooLarge, measure, table
+
+    plan = Plan(nodes, processes, real, cores, routes, servers, changes, quiet_s, most_s, services, hosts)
+    try:
+        found = reach(measure(plan))
+    except TooLarge as err:
+        click.echo(f"cypressbeam: {err}", err=True)
+        sys.exit(2)
+    click.echo(as_json(asdict(found)) if plain else table([found]))
+
+
 #: Histories that one process plays before it tells of them.
 BATCH = 20
 
--- a/lab/membership.py
+++ b/lab/membership.py
@@ -31,6 +31,20 @@
 SOME = 0.1
 
 
+def many_routes(revision: int, routes: int, hosts: int = 60, services: int = 0) -> bytes:
+    """A configuration with so many routes beside the demonstration's, spread over hosts and services; each version
+    changes one of them. Without services of their own all lead to the first one."""
+    made = demo_configuration(revision)
+    pattern, plant = made["channels"][0], made["plants"][0]
+    made["plants"] += [plant | {"label": f"service-{number}"} for number in range(services)]
+    made["channels"] += [pattern | {"label": f"r-{number * 7919 % 100_003}", "host": f"h{number % hosts}.example",
+                                    "prefix": f"/p{number * 104_729 % 999_983}/",
+                                    "cutoffMs": 5000 + (number == revision)}
+                         | ({"plant": f"service-{number % services}"} if services else {})
+                         for number in range(routes)]
+    return cbor2.dumps(made)
+
+
 class SimulatedNode(GatewayNode):
     """A node that carries no traffic of its own here: the data plane stays away."""
 
@@ -112,12 +126,7 @@
 
     def configuration(self, revision: int) -> bytes:
         """Each version changes one of the many routes."""
-        made = demo_configuration(revision)
-        pattern = made["channels"][0]
-        made["channels"] += [pattern | {"label": f"r-{number * 7919 % 100_003}", "host": f"h{number % 60}.example",
-                                        "prefix": f"/p{number * 104_729 % 999_983}/",
-                                        "cutoffMs": 5000 + (number == revision)} for number in range(self.routes)]
-        return cbor2.dumps(made)
+        return many_routes(revision, self.routes)
 
     def order(self) -> None:
         """A new configuration, at the head."""
