--- a/cypressbeam/cli.py
+++ b/cypressbeam/cli.py
@@ -408,6 +408,28 @@
     click.echo(as_json(asdict(found)) if plain else table([found]))
 
 
+@lab.command()
+@click.option("--family", "families", multiple=True, help="routes, tenants, servers, services, samples, nodes, digests "
+              "or connections; as often as wanted. Without it, all.")
+@click.option("--sizes", help="Other sizes than usual, for all that are measured.")
+@click.option("--repeat", default=3, show_default=True, help="Times that each size is measured.")
+@click.option("--json", "plain", is_flag=True, help="For programs.")
+def footprint(families: tuple[str, ...], sizes: str | None, repeat: int, plain: bool) -> None:
+    """Bytes and processor time a route, tenant, server, service, node, connection, sample and digest.
+
+    Each size in a process of its own; the value at the target is measured, or told as reckoned.
+    """
+    from lab.footprint import FAMILIES, measure, rows, table
+
+    if unknown := set(families) - FAMILIES.keys():
+        click.echo(f"cypressbeam: no family {min(unknown)}; there are {', '.join(FAMILIES)}", err=True)
+        sys.exit(2)
+    for name in families or FAMILIES:
+        _, usual, target = FAMILIES[name]
+        found = measure(name, [int(size) for size in sizes.split(",")] if sizes else usual, repeat)
+        click.echo(as_json({name: rows(found, target)}) if plain else table(name, found, target) + "\n")
+
+
 #: Histories that one process plays before it tells of them.
 BATCH = 20
 
