--- a/cypressbeam/cli.py
+++ b/cypressbeam/cli.py
@@ -430,6 +430,23 @@
         click.echo(as_json({name: rows(found, target)}) if plain else table(name, found, target) + "\n")
 
 
+@lab.command()
+@click.option("--sources", is_flag=True, help="Of each cost the command, the run, and what carries it.")
+@HTML
+def capacity(sources: bool, page: Path | None) -> None:
+    """Every cost at the size of the target, the worst first, from the points in lab/capacity.toml (docs/CAPACITY.md).
+
+    Exit code 3 while a cost is over its limit there.
+    """
+    from lab import capacity as costs
+
+    found = costs.load()
+    click.echo(costs.sources(found) if sources else costs.table(found))
+    if page is not None:
+        costs.write_page(found, page)
+    sys.exit(3 if costs.beyond(found) else 0)
+
+
 #: Histories that one process plays before it tells of them.
 BATCH = 20
 
--- a/lab/plots.py
+++ b/lab/plots.py
@@ -8,7 +8,7 @@
 import html
 import io
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from pathlib import Path
 
 from matplotlib import rc_context
@@ -58,6 +58,41 @@
     return svg(figure)
 
 
+def target_plot(name: str, unit: str, over: str, points: Sequence[tuple[float, float]],
+                at: Callable[[float], float], target: tuple[float, float], limit: float | None) -> str:
+    """Measured points on log axes, the line on to the target, and the limit; over that it is red."""
+    figure = Figure(figsize=(4.4, 3.2), layout="constrained")
+    axes = figure.subplots()
+    shown = [(size, value) for size, value in points if size > 0 and value > 0]
+    colour = COLUMNS[limit is not None and target[1] > limit]
+    sizes = [size for size, _ in shown] + [target[0]]
+    first, last = min(sizes), max(sizes)
+    steps = [first * (last / first) ** (step / 60) for step in range(61)]
+    line = [(size, at(size)) for size in steps if at(size) > 0]
+    if line:
+        axes.plot(*zip(*line, strict=True), "-", color=colour, linewidth=1.0, alpha=0.7)
+    if shown:
+        axes.plot(*zip(*shown, strict=True), "o", color=colour, markersize=4)
+    axes.plot([target[0]], [target[1]], "o", color=colour, markersize=11, fillstyle="none")
+    axes.set_xscale("log")
+    axes.set_yscale("log")
+    values = [value for _, value in shown] + [target[1]]
+    if limit is not None:
+        axes.axhline(limit, color="#444", linestyle="--", linewidth=1.0)
+        axes.annotate("limit", (1.0, limit), xycoords=("axes fraction", "data"), xytext=(-3, 2),
+                      textcoords="offset points", ha="right", fontsize=8, color="#444")
+        values.append(limit)
+    # A decade at least, or a cost that hardly moves would look as one that does.
+    middle = math.sqrt(min(values) * max(values))
+    half = max(math.sqrt(max(values) / min(values)) * 1.6, math.sqrt(10.0))
+    axes.set_ylim(middle / half, middle * half)
+    axes.set_title(name, fontsize=9, wrap=True)
+    axes.set_xlabel(over)
+    axes.set_ylabel(unit)
+    axes.grid(True, which="major", alpha=0.25)
+    return svg(figure)
+
+
 def difference_plot(rows: Sequence[tuple[str, float, float, float]]) -> str:
     """Of each figure (name, what it was, mean difference, half width) the difference as a share of what it was."""
     shown = [row for row in rows if row[1]]
--- /dev/null
+++ b/tests/test_footprint.py
@@ -0,0 +1,73 @@
+"""What state costs, at small sizes: figures that are counts, and the forms that are tried."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from click.testing import CliRunner
+
+from cypressbeam import configuration
+from cypressbeam.cli import main
+from cypressbeam.routing import Table
+from lab import footprint, packed
+from lab.membership import many_routes
+
+SMALL = 60
+NAMES = {"routes", "tenants", "servers", "services", "samples", "nodes", "digests", "connections"}
+
+
+def test_every_family_is_measured_at_a_small_size() -> None:
+    assert footprint.FAMILIES.keys() == NAMES
+    found = {name: footprint.FAMILIES[name][0](SMALL) for name in sorted(NAMES)}
+    assert all(value >= 0 for figures in found.values() for value in figures.values())
+    assert found["routes"]["body_kb"] == len(many_routes(SMALL // 2, SMALL, services=1)) / 1000
+    assert 100 < found["routes"]["change_bytes"] < 400  # one route's record, however many there are
+    assert found["servers"]["change_bytes"] < found["servers"]["list_bytes"] < found["servers"]["pages_bytes"]
+    assert found["servers"]["trial_subset_servers"] == 2 * footprint.KEPT  # of two services
+    assert found["digests"]["taken_kb"] * 1000 > SMALL * (32 + 33)  # the digest, and what a `bytes` adds
+    assert found["tenants"]["trial_limits_packed_kb"] * 1000 > SMALL * 8
+    assert found["connections"]["connections_kb"] < 100 * SMALL
+
+
+def test_packed_routes_find_what_the_table_finds_in_a_fraction_of_its_bytes() -> None:
+    read = configuration.read_committed(many_routes(1, 2000, hosts=50, services=20))
+    table, trial = Table(read), packed.Routes(read)
+    chance = random.Random(1)
+    asked = [(channel.host, channel.prefix) for channel in chance.sample(read.channels, 200)]
+    paths = [path + more for _, path in asked for more in ("", "x", "x/y/", "../")] + ["/", "", "/none/", "none"]
+    for host, path in [*asked, *((chance.choice(asked)[0], path) for path in paths), ("none.example", "/find/1")]:
+        for name in (host, host.upper(), f"{host}:80", f" {host} "):
+            route, shared = table.find(name, path), trial.find(name, path)
+            assert (route is None) == (shared is None), (name, path)
+            assert route is None or shared == (route.kind, tuple(
+                (share.plant, share.gain) for share in route.channel.shares()))
+    _, table_kb = footprint.held(lambda: Table(read))
+    _, trial_kb = footprint.held(lambda: packed.Routes(read))
+    assert trial_kb < table_kb / 3
+
+
+def test_a_subset_keeps_some_of_each_service_and_moves_little() -> None:
+    rows = [footprint.server(number, 10) for number in range(250)]
+    chosen = packed.subset("edge-1", rows, 8)
+    assert sorted({row.plant for row in chosen}) == sorted({row.plant for row in rows}) and len(chosen) == 80
+    gone = chosen[0]
+    after = packed.subset("edge-1", [row for row in rows if row != gone], 8)
+    assert len(set(chosen) - set(after)) == len(set(after) - set(chosen)) == 1
+    assert packed.subset("edge-2", rows, 8) != chosen
+
+
+def test_slopes_and_the_value_at_the_target() -> None:
+    found = {100: [{"kb": 150.0}, {"kb": 152.0}, {"kb": 148.0}], 300: [{"kb": 350.0}, {"kb": 385.0}, {"kb": 315.0}]}
+    (row,) = footprint.rows(found, 1000)
+    assert row["slope"] == pytest.approx(1.0) and row["target"] == pytest.approx(1050.0) and row["reckoned"]
+    assert row["spread"] == pytest.approx(0.2)
+    (row,) = footprint.rows(found, 300)
+    assert row["target"] == 350.0 and not row["reckoned"]
+    assert "| kb | 150 | 350 | 1 | 0.77 | 20% | 1050 (reckoned) |" in footprint.table("x", found, 1000)
+
+
+def test_the_command_measures_each_size_in_a_process_of_its_own() -> None:
+    done = CliRunner().invoke(main, ["lab", "footprint", "--family", "digests", "--sizes", "10,20", "--repeat", "1"])
+    assert done.exit_code == 0 and "| taken_kb |" in done.output
+    assert CliRunner().invoke(main, ["lab", "footprint", "--family", "none"]).exit_code == 2
