--- a/cypressbeam/cli.py
+++ b/cypressbeam/cli.py
@@ -409,13 +409,13 @@
 
 
 @lab.command()
-@click.option("--family", "families", multiple=True, help="routes, tenants, servers, services, samples, nodes, digests "
-              "or connections; as often as wanted. Without it, all.")
+@click.option("--family", "families", multiple=True, help="routes, tenants, servers, services, samples, nodes, "
+              "digests, requests or connections; as often as wanted. Without it, all.")
 @click.option("--sizes", help="Other sizes than usual, for all that are measured.")
 @click.option("--repeat", default=3, show_default=True, help="Times that each size is measured.")
 @click.option("--json", "plain", is_flag=True, help="For programs.")
 def footprint(families: tuple[str, ...], sizes: str | None, repeat: int, plain: bool) -> None:
-    """Bytes and processor time a route, tenant, server, service, node, connection, sample and digest.
+    """Bytes and processor time a route, tenant, server, service, node, connection, sample, digest and request.
 
     Each size in a process of its own; the value at the target is measured, or told as reckoned.
     """
--- a/lab/packed.py
+++ b/lab/packed.py
@@ -4,12 +4,14 @@
 
 import heapq
 from array import array
-from collections import defaultdict
+from bisect import bisect_left, bisect_right, insort
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 
+from cypressbeam import frames
 from cypressbeam.configuration import Configuration
 from cypressbeam.listing import Server
-from cypressbeam.roster import weight
+from cypressbeam.roster import WATCHED, Known, Roster, feeders, weight
 from cypressbeam.routing import kind_of
 
 #: A slot of the index that holds no route.
@@ -92,3 +94,85 @@
         of_service[server.plant].append(server)
     return [server for found in of_service.values()
             for server in heapq.nlargest(each, found, key=lambda server: weight(node, server.ident))]
+
+
+class RingRoster(Roster):
+    """The roster without work that grows with all nodes for each join: numbers are counted as nodes come and go, a
+    zone's order keeps each node's rank, and a node watches those that follow it on a ring of hashes.
+
+    Orders and parents are those of `Roster`; who watches whom is not, and each is watched by as many as it watches.
+    """
+
+    def __init__(self, me: str) -> None:
+        super().__init__(me)
+        self.counts: Counter[str] = Counter()
+        """Nodes that carry traffic, by zone; under no name all of them."""
+        self.ring: list[tuple[int, str]] = []
+        self.sorted: defaultdict[str, list[tuple[tuple[bool, bool, int, int], str]]] = defaultdict(list)
+        self.ranks: dict[str, tuple[tuple[bool, bool, int, int], str]] = {}
+
+    def rank(self, known: Known) -> tuple[tuple[bool, bool, int, int], str]:
+        slow = known.shunned or bool(known.flags & frames.SLOW)
+        return (known.name != self.me, slow, -known.kbps, weight("tree", known.name)), known.name
+
+    def join(self, frame: frames.Join, now_s: float) -> None:
+        known = self.nodes.get(frame.name)
+        doubted = bool(frame.lost) or (known is not None and known.shunned)
+        if known is None or doubted or (known.ip, known.zone, known.flags, known.kbps) != (
+                frame.ip, frame.zone, frame.flags, frame.kbps):
+            super().join(frame, now_s)
+            for other in self.nodes.values() if doubted else ():
+                self.enlist(other)
+        else:
+            known.seen_s = now_s
+
+    def enlist(self, known: Known) -> None:
+        """Where it stands in its zone's order, now that it is new or its rank may be another."""
+        rank = self.rank(known)
+        if self.ranks.get(known.name) != rank:
+            self.delist(known)
+            insort(self.sorted[known.zone], rank)
+            self.ranks[known.name] = rank
+            self.feeders.pop(known.zone, None)
+
+    def delist(self, known: Known) -> None:
+        rank = self.ranks.pop(known.name, None)
+        if rank is not None:
+            order = self.sorted[known.zone]
+            del order[bisect_left(order, rank)]
+            self.feeders.pop(known.zone, None)
+
+    def enter(self, known: Known) -> None:
+        self.nodes[known.name] = known
+        self.enlist(known)
+        insort(self.ring, (weight("ring", known.name), known.name))
+        if known.flags & frames.FRONT:
+            insort(self.names, known.name)
+            self.counts.update((known.zone, ""))
+
+    def drop(self, name: str) -> None:
+        known = self.nodes.pop(name, None)
+        if known is not None:
+            self.delist(known)
+            del self.ring[bisect_left(self.ring, (weight("ring", name), name))]
+            if known.flags & frames.FRONT:
+                del self.names[bisect_left(self.names, name)]
+                self.counts.subtract((known.zone, ""))
+
+    def fronts(self, zone: str | None = None) -> int:
+        return self.counts[zone or ""]
+
+    def order(self, zone: str) -> list[Known]:
+        return [self.nodes[name] for _, name in self.sorted[zone]]
+
+    def parents(self, known: Known, root: str) -> tuple[str, ...]:
+        if known.zone not in self.feeders:
+            self.feeders[known.zone] = feeders(self.order(known.zone))
+        at = bisect_left(self.sorted[known.zone], self.ranks[known.name])
+        feeder = self.feeders[known.zone][at]
+        return (root,) if feeder is None or feeder.shunned or feeder.ip == root else (feeder.ip, root)
+
+    def watches(self, known: Known) -> list[Known]:
+        at = bisect_right(self.ring, (weight("ring", known.name), known.name))
+        following = [self.ring[(at + step) % len(self.ring)][1] for step in range(min(WATCHED, len(self.ring) - 1))]
+        return [self.nodes[name] for name in following]
