--- a/cypressbeam/cli.py
+++ b/cypressbeam/cli.py
@@ -385,12 +385,13 @@
 @click.option("--servers", default=100, show_default=True, help="Servers on the platform's list.")
 @click.option("--services", default=0, show_default=True, help="Services of the configuration, beside two.")
 @click.option("--hosts", default=60, show_default=True, help="Hosts (tenants) of the configuration.")
+@click.option("--racks", default=0, show_default=True, help="Processes that are killed at once, and come back.")
 @click.option("--changes", default=5, show_default=True, help="Changes of a route, and of a server, one by one.")
 @click.option("--quiet-s", default=10.0, show_default=True, help="Seconds in which nothing happens.")
 @click.option("--most-s", default=180.0, show_default=True, help="After so long all is ended.")
 @click.option("--json", "plain", is_flag=True, help="For programs.")
 def hollow(nodes: int, processes: int, real: int, cores: int, routes: int, servers: int, services: int, hosts: int,
-           changes: int, quiet_s: float, most_s: float, plain: bool) -> None:
+           racks: int, changes: int, quiet_s: float, most_s: float, plain: bool) -> None:
     """Control parts of hundreds of nodes on real sockets, many in a process, with whole nodes among them.
 
     Exit code 1 if it was not done in time, 2 if it is more than the machine is to bear.
@@ -399,7 +400,7 @@
 
     from lab.hollow import Plan, TooLarge, measure, table
 
-    plan = Plan(nodes, processes, real, cores, routes, servers, changes, quiet_s, most_s, services, hosts)
+    plan = Plan(nodes, processes, real, cores, routes, servers, changes, quiet_s, most_s, services, hosts, racks)
     try:
         found = reach(measure(plan))
     except TooLarge as err:
