--- a/cypressbeam/core.py
+++ b/cypressbeam/core.py
@@ -376,9 +376,9 @@
         now_s = self.went_on_s = self.loop.time()
         if self.keeper is not None and self.members is not None:
             self.carry_out(self.keeper.tick(now_s))
+            self.carry_out(self.members.tick(now_s))
             self.note_epoch()
             self.follow(now_s)
-            self.carry_out(self.members.tick(now_s))
             self.keep_notes(self.keeper, now_s)
         if self.relay.is_root:
             self.roster.nodes[self.settings.node].seen_s = now_s
--- a/cypressbeam/frames.py
+++ b/cypressbeam/frames.py
@@ -63,6 +63,7 @@
 
     def check(self) -> None:
         """Raises FrameError for values that no node sends: an epoch, a member, a count or a digest that cannot be."""
+        check_epochs(self, getattr(self, "epoch", 0))
 
     def body_field(self) -> bytes:
         """The body that the frame speaks of, or its digest where the frame comes from a stream; often none."""
