--- a/lab/plans.py
+++ b/lab/plans.py
@@ -41,7 +41,8 @@
 class Shape:
     """What kind of history a seed is. `machines`: three or five; `wild`: troubles overlap as they like; `large`: bodies
     are; `long`: freezes and cuts of up to 25 s; `hurry_s`: operators change one after another for so long;
-    `aimed`: all its troubles are rows that lead to a view with a newcomer on one disk alone."""
+    `aimed`: all its troubles are rows that lead to a view with a newcomer on one disk alone; `crowd`: operators come in
+    crowds (operators.py)."""
 
     machines: int = 3
     wild: bool = False
@@ -49,14 +50,16 @@
     long: bool = False
     hurry_s: float = 0.0
     aimed: bool = False
+    crowd: bool = False
 
 
 def shape_of(seed: int) -> Shape:
-    """Ratios that keep the time for one history bounded: two of five have five machines, one of seven is long; one of
-    twenty has several hundred changes, one of two hundred 2,000."""
+    """Ratios that keep the time for one history bounded: two of five have five machines, one of seven is long, and
+    another one has crowds of operators; one of twenty has several hundred changes, one of two hundred 2,000."""
     hurry_s = THOUSANDS_S if seed % 200 == 50 else HUNDREDS_S if seed % 20 == 10 else 0.0
     return Shape(machines=5 if seed % 5 in (2, 4) else 3, wild=seed % 3 == 0, large=seed % 4 == 1,
-                 long=seed % 7 == 3 and not hurry_s, hurry_s=hurry_s, aimed=seed % 20 == 13)
+                 long=seed % 7 == 3 and not hurry_s, hurry_s=hurry_s, aimed=seed % 20 == 13,
+                 crowd=seed % 7 == 0 and not hurry_s)
 
 
 def make_plan(seed: int) -> list[Step]:
