--- a/cypressbeam/peers.py
+++ b/cypressbeam/peers.py
@@ -153,7 +153,10 @@
 
     def __init__(self) -> None:
         self.early = bytearray()
-        self.lost = False
+        self.up = self.lost = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.up = True
 
     def data_received(self, data: bytes) -> None:
         self.early += data
@@ -252,32 +255,35 @@
     async def connect(self, link: Link) -> None:
         wait_s = self.waits.get(link.ip, CONNECT_TIMEOUT_S[0])
         bulk = link.lane == BULK
-        knocks: list[asyncio.Task[Any]] = []
+        knocks: dict[asyncio.Task[Any], Knock] = {}
         try:
             async with asyncio.timeout(BULK_CONNECT_S if bulk else wait_s):
                 while link.transport is None and not link.closed:
                     if not bulk or len(knocks) < KNOCKS:
-                        knocks.append(self.knock(link))
-                    pending = [knock for knock in knocks if not knock.done()]
+                        self.knock(link, knocks)
+                    pending = [task for task in knocks if not task.done()]
                     await asyncio.wait(pending, timeout=KNOCK_S * len(knocks) if bulk else KNOCK_S,
                                        return_when=asyncio.FIRST_COMPLETED)
-                    for knock in knocks:
-                        if knock.done() and link.transport is None:
-                            knock.result()  # raises what it failed of
+                    for task in knocks:
+                        if task.done() and link.transport is None:
+                            task.result()  # raises what it failed of
                             raise ConnectionResetError("lost as it came up")
         except (OSError, TimeoutError):
             if link.transport is None:
                 self.waits[link.ip] = min(2 * wait_s, CONNECT_TIMEOUT_S[1])
                 link.lost()
         finally:
-            for knock in knocks:
-                knock.cancel()
+            for task, knock in knocks.items():
+                if not knock.up:  # one that is ends by itself in the next turn
+                    task.cancel()
 
-    def knock(self, link: Link) -> asyncio.Task[Any]:
+    def knock(self, link: Link, knocks: dict[asyncio.Task[Any], Knock]) -> None:
+        knock = Knock()
         # From the node's own address: the other side knows nodes by it, also on machines with several.
-        task = self.loop.create_task(self.loop.create_connection(Knock, link.ip, self.port, local_addr=(self.ip, 0)))
+        task = self.loop.create_task(self.loop.create_connection(
+            lambda: knock, link.ip, self.port, local_addr=(self.ip, 0)))
         task.add_done_callback(lambda done: self.knocked(link, done))
-        return task
+        knocks[task] = knock
 
     def knocked(self, link: Link, task: asyncio.Task[Any]) -> None:
         """A connect has ended. Only now is its connection a link's: cancelled a moment before, when it had come up
--- a/cypressbeam/relay.py
+++ b/cypressbeam/relay.py
@@ -515,7 +515,7 @@
     def others(self) -> list[str]:
         """Who has the newest version for sure, or soon, whatever the tree is like: the parent, and the core in any
         order, so that those who turn there together don't all ask one machine."""
-        members = [*self.place.members] if self.place is not None else []
+        members = [*(self.place.members if self.place is not None else self.group)]
         self.chance.shuffle(members)
         known = [self.parent.ip if self.parent is not None else "", *members, self.root]
         return [ip for ip in dict.fromkeys(known) if ip not in ("", self.settings.ip)]
