--- a/lab/cuts.py
+++ b/lab/cuts.py
@@ -34,7 +34,7 @@
 
 Machine = tuple[Host, Settings]
 #: Frames that say who leads or what is in force.
-WORDS = (frames.Beat, frames.News, frames.Servers, frames.Verdict, frames.Place)
+WORDS = (frames.Beat, frames.News, frames.Update, frames.Servers, frames.Verdict, frames.Place)
 
 
 @dataclass(frozen=True)
--- a/lab/histories.py
+++ b/lab/histories.py
@@ -648,9 +648,8 @@
     """One history. Raises Violation with what does not hold."""
     shape = shape_of(seed)
     quick = {"quick": True, "loss": QUICK_LOSS} if shape.hurry_s else {}
-    crowd = seed % operators.EVERY == operators.WHICH
-    shaped = {"large": shape.large, "machines": shape.machines, "crowd": crowd}
-    with operators.few_kept() if crowd else nullcontext():
+    shaped = {"large": shape.large, "machines": shape.machines, "crowd": shape.crowd}
+    with operators.few_kept() if shape.crowd else nullcontext():
         return play_in(World(seed, **shaped | quick | options), plan)
 
 
