--- a/lab/packed.py
+++ b/lab/packed.py
@@ -115,15 +115,16 @@
         slow = known.shunned or bool(known.flags & frames.SLOW)
         return (known.name != self.me, slow, -known.kbps, weight("tree", known.name)), known.name
 
-    def join(self, frame: frames.Join, now_s: float) -> None:
+    def join(self, frame: frames.Join, now_s: float, epoch: int = 0) -> None:
         known = self.nodes.get(frame.name)
         doubted = bool(frame.lost) or (known is not None and known.shunned)
         if known is None or doubted or (known.ip, known.zone, known.flags, known.kbps) != (
                 frame.ip, frame.zone, frame.flags, frame.kbps):
-            super().join(frame, now_s)
+            super().join(frame, now_s, epoch)
             for other in self.nodes.values() if doubted else ():
                 self.enlist(other)
         else:
+            known.listen(frame.fed, now_s)
             known.seen_s = now_s
 
     def enlist(self, known: Known) -> None:
