--- a/lab/plots.py
+++ b/lab/plots.py
@@ -79,13 +79,16 @@
     values = [value for _, value in shown] + [target[1]]
     if limit is not None:
         axes.axhline(limit, color="#444", linestyle="--", linewidth=1.0)
-        axes.annotate("limit", (1.0, limit), xycoords=("axes fraction", "data"), xytext=(-3, 2),
-                      textcoords="offset points", ha="right", fontsize=8, color="#444")
+        axes.annotate("limit", (0.0, limit), xycoords=("axes fraction", "data"), xytext=(3, 2),
+                      textcoords="offset points", fontsize=8, color="#444")
         values.append(limit)
     # A decade at least, or a cost that hardly moves would look as one that does.
     middle = math.sqrt(min(values) * max(values))
     half = max(math.sqrt(max(values) / min(values)) * 1.6, math.sqrt(10.0))
     axes.set_ylim(middle / half, middle * half)
+    for axis in (axes.xaxis, axes.yaxis):
+        axis.set_major_formatter("{x:g}")
+        axis.set_minor_formatter(NullFormatter())
     axes.set_title(name, fontsize=9, wrap=True)
     axes.set_xlabel(over)
     axes.set_ylabel(unit)
