--- a/lab/footprint.py
+++ b/lab/footprint.py
@@ -92,6 +92,7 @@
     table, table_ms = timed(lambda: Table(read))
     found = {"body_kb": len(body) / 1000, "read_ms": read_ms, "table_ms": table_ms,
              "swap_grows_kb": float(rss_kb() - before_kb), "swap_peak_kb": float(peak_kb() - before_peak_kb)}
+    found["collect_ms"] = timed(gc.collect)[1]  # all generations, with one version
     found["check_ms"] = timed(lambda: configuration.check(read))[1]
     found["digest_ms"] = timed(lambda: configuration.digest(body))[1]
     found["read_kb"] = held(lambda: configuration.read_committed(body))[1]
@@ -205,9 +206,11 @@
             desk.balancer.now_us = gate.now_us()
             desk.balancer.refresh_all()
     _, upkeep_ms = timed(upkeep)
+    _, collect_ms = timed(gc.collect)
     _, drain_ms = timed(lambda: gate.take_servers(drained))
     _, sweep_ms = timed(gate.upstream.sweep)
     return {"plane_make_ms": make_ms, "plane_kb": held(make)[1], "plane_drain_ms": drain_ms,
+            "plane_collect_ms": collect_ms,
             "plane_upkeep_share": upkeep_ms / (HOUSEKEEPING_US / 1000) + sweep_ms / 1000}
 
 
