--- a/lab/capacity.py
+++ b/lab/capacity.py
@@ -42,6 +42,8 @@
     """What carries it, or what is missing."""
     trial: bool = False
     """Of a form that the program does not have."""
+    reckoned: bool = False
+    """The points are worked out from what was measured, as the run tells."""
 
 
 class Costs(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -107,7 +109,8 @@
     others = [at(rest, model, cost.target) for rest in rests
               if len({size for size, _ in rest}) > (model != "same")]
     seen = own if own else [value, *others]
-    return Fit(None if model == "same" else line(points, model)[1], value, min(seen), max(seen), bool(own))
+    return Fit(None if model == "same" else line(points, model)[1], value, min(seen), max(seen),
+               bool(own) and not cost.reckoned)
 
 
 def ratio(cost: Cost) -> float | None:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -84,6 +84,7 @@
     assert power.slope == pytest.approx(2.0) and power.value == pytest.approx(7.29e6)
     own = capacity.fit(cost(points=((100.0, 1.0), (2700.0, 30.0), (2700.0, 40.0), (2700.0, 34.0))))
     assert (own.value, own.low, own.high, own.measured) == (34.0, 30.0, 40.0, True)
+    assert not capacity.fit(cost(points=((100.0, 1.0), (2700.0, 30.0)), reckoned=True)).measured
     assert capacity.fit(cost(model="same", points=((1.0, 3.0),))).value == 3.0
     assert [capacity.verdict(cost(limit=limit)) for limit in (600.0, 300.0, 200.0, None)] == [
         "holds", "near", "breaks", "no limit"]
