--- a/lab/packed.py
+++ b/lab/packed.py
@@ -112,19 +112,22 @@
         self.ranks: dict[str, tuple[tuple[bool, bool, int, int], str]] = {}
 
     def rank(self, known: Known) -> tuple[tuple[bool, bool, int, int], str]:
-        slow = known.shunned or bool(known.flags & frames.SLOW)
+        slow = known.doubtful() or bool(known.flags & frames.SLOW)
         return (known.name != self.me, slow, -known.kbps, weight("tree", known.name)), known.name
 
-    def join(self, frame: frames.Join, now_s: float) -> None:
+    def join(self, frame: frames.Join, now_s: float, epoch: int = 0) -> None:
         known = self.nodes.get(frame.name)
-        doubted = bool(frame.lost) or (known is not None and known.shunned)
+        doubted = bool(frame.lost) or (known is not None and known.doubtful())
         if known is None or doubted or (known.ip, known.zone, known.flags, known.kbps) != (
                 frame.ip, frame.zone, frame.flags, frame.kbps):
-            super().join(frame, now_s)
+            super().join(frame, now_s, epoch)
             for other in self.nodes.values() if doubted else ():
                 self.enlist(other)
         else:
+            known.listen(frame.fed, now_s)
             known.seen_s = now_s
+            if known.doubtful():
+                self.enlist(known)
 
     def enlist(self, known: Known) -> None:
         """Where it stands in its zone's order, now that it is new or its rank may be another."""
@@ -170,7 +173,7 @@
             self.feeders[known.zone] = feeders(self.order(known.zone))
         at = bisect_left(self.sorted[known.zone], self.ranks[known.name])
         feeder = self.feeders[known.zone][at]
-        return (root,) if feeder is None or feeder.shunned or feeder.ip == root else (feeder.ip, root)
+        return (root,) if feeder is None or feeder.doubtful() or feeder.ip == root else (feeder.ip, root)
 
     def watches(self, known: Known) -> list[Known]:
         at = bisect_right(self.ring, (weight("ring", known.name), known.name))
