--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -159,8 +159,11 @@
     keeper.propose(world.now_s)
     assert keeper.proposal is not None
     for name in ("b/0", "a/0"):
+        own, entry = world.keepers[ip_of(name)].own_marks(), world.keepers[ip_of(name)].newest()
+        assert entry is not None
         keeper.on_promise(frames.Promise(keeper.proposal.epoch, name, keeper.view.epoch, keeper.view.chain,
-                                         keeper.view.group, 0, 0, 0, 0, b"", b""), world.now_s)
+                                         keeper.view.group, entry.number, entry.epoch, entry.revision, entry.base,
+                                         entry.body, b"", own.incarnation, own.draw, own.epoch), world.now_s)
     keeper.on_pulse(frames.Pulse("c/9", 0, 0, 1, 0), world.now_s)  # c has lost its disk meanwhile
     sent = keeper.conclude(world.now_s + 0.5)
     accepts = [action.frame for action in sent if isinstance(action, Tell) and isinstance(action.frame, frames.Accept)]
