--- a/cypressbeam/relay.py
+++ b/cypressbeam/relay.py
@@ -32,7 +32,7 @@
 #: beat: a root that is back at once finds the tree as it was. Nodes that hold each other in a circle part then.
 HOLD_S = 1.6
 #: A node that has a parent and no beat for so long looks for the root beside it: that one may lead no more.
-SEEK_S = 0.9
+SEEK_S = SILENCE_S
 #: A node vouches for the root that it knows for so long after that one's word.
 FRESH_S = 1.0
 #: A node whose event loop was so late lately asks to be no relay; how the lateness fades, each tick.
