--- a/tests/test_footprint.py
+++ b/tests/test_footprint.py
@@ -5,6 +5,7 @@
 import random
 from collections import Counter
 
+import msgspec
 import pytest
 from click.testing import CliRunner
 
@@ -53,6 +54,18 @@
     assert trial_kb < table_kb / 3
 
 
+def test_packed_routes_tell_keys_apart_that_share_a_slot(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(packed, "hash", lambda key: 0, raising=False)
+    shape = configuration.read_committed(many_routes(1, 0)).channels[0]
+    hosts = ["b.example", "ab.example", "example", "cab.example"]  # each the end of another
+    channels = tuple(msgspec.structs.replace(shape, host=host, rank=rank) for rank, host in enumerate(hosts))
+    read = configuration.Configuration(1, channels, ())
+    table, trial = Table(read), packed.Routes(read)
+    for host in [*hosts, "dcab.example", "le"]:
+        route, shared = table.find(host, "/find/x"), trial.find(host, "/find/x")
+        assert (shared[0] if shared else None) == (route.kind if route else None), host
+
+
 def test_a_subset_keeps_some_of_each_service_and_moves_little() -> None:
     rows = [footprint.server(number, 10) for number in range(250)]
     chosen = packed.subset("edge-1", rows, 8)
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -35,6 +35,8 @@
     assert all(0.0 < s < plan.most_s for s in [*found.acknowledged_s, *found.everywhere_s, *found.listed_s])
     # Beats come 2.5 times a second, each down one connection; renewals and places beside them.
     assert 2.0 < found.frames_in < 4.0 and found.bytes_in > 25 * found.frames_in
+    # Renewals, each 3 s, and what a relay passes on.
+    assert 0.2 < found.frames_out < found.frames_in and found.bytes_out > 25 * found.frames_out
     # The kernel has read all bytes that frames had, and no more than the pipe's few beside them.
     assert found.bytes_in <= found.kernel_in < found.bytes_in + 200
     # Two are watched, each answers: four datagrams in 0.7 s, as far as others watch this one.
