Replace a silent member within syncS, and hand over before a stop

Cause: a member was replaced after 60 s of silence, counted anew by each head, and former members never came back by themselves. Ruled out: a shorter time alone, which leaves the group without spares after a false alarm and treats planned stops as losses. Change: cypressbeam/replacement.py; spares are level beforehand and greet the core as soon as they know an address of it; a member that gets SIGTERM has a spare take its place first; gateway.replaceAfterS is a quarter of envelope.syncS by default. Tests: tests/test_replacement.py. In test_members.py the two tests with 5 s of patience name that time themselves, since the default of lab turnover is 1 s now; their assertions are the same, on Replacement in place of Members.

--- a/cypressbeam/agreement.py
+++ b/cypressbeam/agreement.py
@@ -208,6 +208,8 @@
         """The most that each other member has told, by name."""
         self.refused: set[str] = set()
         """Members whose disks are older than what they told."""
+        self.leaving = False
+        """This process was told to stop: it is no spare."""
         self.lacks = ""
         """Why this machine's disk is known to have lost something, if it is."""
 
@@ -256,6 +258,11 @@
         stalled = bool(self.writes) and now_s - self.writes[0] > STALL_S
         return not stalled and self.disk_failed_s is None and not self.lacks
 
+    def offers_disk(self, now_s: float) -> bool:
+        """Whether others may count on this disk: one that leaves serves its group to the end, but joins none."""
+        member = self.view is not None and self.name in self.view.group
+        return self.disk_works(now_s) and (member or not self.leaving)
+
     def majority(self, group: tuple[str, ...]) -> int:
         return len(group) // 2 + 1
 
@@ -379,7 +386,7 @@
         """With a number that is to be echoed, if it asks for that."""
         epoch = self.member.view.epoch if self.member is not None else 0
         own = self.own_marks()
-        return frames.Pulse(self.name, epoch, self.promised, int(self.disk_works(now_s)), self.standing,
+        return frames.Pulse(self.name, epoch, self.promised, int(self.offers_disk(now_s)), self.standing,
                             self.next_number(now_s) if asks else 0, echo, own.incarnation, own.draw, own.promised,
                             own.epoch, own.number)
 
--- a/cypressbeam/core.py
+++ b/cypressbeam/core.py
@@ -25,9 +25,10 @@
 )
 from cypressbeam.chain import Publish, Sync, Tell, View, ip_of
 from cypressbeam.listing import Server, read_page
-from cypressbeam.members import Members
+from cypressbeam.members import Change, Members
 from cypressbeam.peers import Link
 from cypressbeam.relay import Relay
+from cypressbeam.replacement import Replacement
 from cypressbeam.roster import RENEW_S, Roster
 from cypressbeam.settings import Settings
 from cypressbeam.store import FormatError, Loaded, Storage, StoreError, TornError
@@ -60,7 +61,9 @@
 LOAD_S, LOAD_AGAIN_S = 0.2, 1.0
 #: What others have told, and the number of this start, go to disk with the next write; without one, after so long.
 NOTE_S = 1.0
-#: A machine that started anew tells the core of itself this often until it is taken in.
+#: A member that is told to stop asks for its replacement this often.
+HAND_OVER_AGAIN_S = 0.15
+#: A machine that is no member tells the core of itself this often.
 GREET_S = 0.3
 
 
@@ -155,6 +158,7 @@
         self.chance: random.Random = random.SystemRandom()
         self.keeper: Keeper | None = None
         self.members: Members | None = None
+        self.replacement: Replacement | None = None
         self.roster = Roster(settings.node)
         self.rooted_s = self.introduced_s = 0.0
         self.above_since_s: float | None = None
@@ -214,7 +218,8 @@
         self.relay.identity = name
         self.keeper = Keeper(name, self.settings.machine_losses + 1, revision_of, configuration.digest,
                              self.chance.random)
-        self.members = Members(self.keeper, self.settings.machine_losses, self.settings.replace_after_s)
+        self.members = Members(self.keeper, self.settings.machine_losses)
+        self.replacement = Replacement(self.members, self.settings.replace_after_s)
         self.keeper.remember(loaded.own, loaded.raised, loaded.marks)
         self.noted_s = self.loop.time()
         if loaded.view is not None:
@@ -336,14 +341,23 @@
         if keeper.member is not None:
             link.send(frames.Founded(keeper.name, keeper.member.view.epoch, keeper.member.view.chain))
 
-    def greet(self, members: tuple[str, ...]) -> None:
-        """A machine that knows no view, for its disk is new, tells the core of itself, if it is to be a member."""
-        keeper = self.keeper
-        if (keeper is not None and keeper.view is None and (self.known or not self.settings.bootstrap)
-                and self.settings.quorum_member):
-            for ip in members:
-                if ip != self.settings.ip:
-                    self.send(ip, keeper.own_pulse(self.loop.time()))
+    def greet(self) -> None:
+        """A machine that the group does not count tells its members that it is there, if it may be one. Those of the
+        view that it holds hear its heartbeats anyway."""
+        keeper, settings = self.keeper, self.settings
+        if keeper is None or not settings.quorum_member or self.is_founding(keeper):
+            return
+        now_s = self.greeted_s = self.loop.time()
+        group = {ip_of(name) for name in keeper.view.group} if keeper.view is not None else set()
+        if settings.ip in group:
+            return
+        for ip in dict.fromkeys([*self.known, *self.relay.group]):
+            if ip not in group and ip != settings.ip:
+                self.send(ip, keeper.own_pulse(now_s))
+
+    def is_founding(self, keeper: Keeper) -> bool:
+        """Whether this machine waits for the founding view: it is told of that by the founder."""
+        return keeper.view is None and self.settings.bootstrap and not self.known
 
     def keep_notes(self, keeper: Keeper, now_s: float) -> None:
         """What others have told goes to disk with another write, or by itself after a while. What is refused is said
@@ -356,9 +370,28 @@
         for name in keeper.refused - self.refused:
             log.error("%s is refused: it has told %s, and tells less now", name, keeper.marks.get(name))
         self.refused = set(keeper.refused)
-        if keeper.view is None and self.known and now_s > self.greeted_s + GREET_S:
-            self.greeted_s = now_s
-            self.greet(self.known)
+
+    # -- stop ----------------------------------------------------------------------------------------------
+
+    async def hand_over(self, until_s: float) -> None:
+        """Ask for a spare to take this member's place, until it has, there is none, or time is up."""
+        if self.keeper is not None:
+            self.keeper.leaving = True
+        asked = False
+        while self.keeper is not None and self.replacement is not None and self.loop.time() < until_s:
+            change = self.replacement.departure(self.loop.time())
+            if change is not None:
+                self.ask_for(change)
+                asked = True
+            elif not asked or not self.replacement.successors_lack_view(self.loop.time()):
+                return
+            await asyncio.sleep(HAND_OVER_AGAIN_S)
+
+    def ask_for(self, change: Change) -> None:
+        """Send the head an order for a change of the group, as an operator would."""
+        log.info("this machine leaves; the group is to be %s", " ".join(sorted(change.steps()[-1])))
+        self.on_core(frames.Change(self.chance.getrandbits(63), self.settings.ip, change.kind, change.old, change.new,
+                                   tuple(sorted(change.base))))
 
     # -- upkeep --------------------------------------------------------------------------------------------
 
@@ -374,12 +407,14 @@
 
     def go_on(self) -> None:
         now_s = self.went_on_s = self.loop.time()
-        if self.keeper is not None and self.members is not None:
+        if self.keeper is not None and self.replacement is not None:
             self.carry_out(self.keeper.tick(now_s))
-            self.carry_out(self.members.tick(now_s))
+            self.carry_out(self.replacement.tick(now_s))
             self.note_epoch()
             self.follow(now_s)
             self.keep_notes(self.keeper, now_s)
+            if now_s > self.greeted_s + GREET_S:
+                self.greet()
         if self.relay.is_root:
             self.roster.nodes[self.settings.node].seen_s = now_s
             for name in self.roster.expire(now_s):
@@ -455,7 +490,7 @@
     def on_core(self, frame: frames.Frame) -> None:
         """A frame from another machine of the core, or an order or a read from any node."""
         keeper, members, now_s = self.keeper, self.members, self.loop.time()
-        if keeper is None or members is None:
+        if keeper is None or members is None or self.replacement is None:
             return  # the disk is not read yet
         done: Sequence[Action] = ()
         if isinstance(frame, frames.Pulse):
@@ -483,7 +518,7 @@
         elif isinstance(frame, frames.StaleDisk):
             done = keeper.on_stale(frame, now_s)
         elif isinstance(frame, frames.Ask):
-            done = [Tell(frame.origin, members.describe(frame.ident, now_s)),
+            done = [Tell(frame.origin, self.replacement.describe(frame.ident, now_s)),
                     Tell(frame.origin, keeper.state(frame.ident, now_s))]
         elif isinstance(frame, frames.Change):
             done = members.order(frame, now_s)
--- a/cypressbeam/members.py
+++ b/cypressbeam/members.py
@@ -21,7 +21,7 @@
 
 from cypressbeam import frames
 from cypressbeam import taken as digests
-from cypressbeam.agreement import COUNTED, DEAD_S, EMPTY, STOOD_STILL_S, Action, Keeper
+from cypressbeam.agreement import EMPTY, NEVER_S, Action, Keeper
 from cypressbeam.chain import Entry, Tell, View, ip_of
 
 #: What an order asks for.
@@ -136,23 +136,17 @@
 
 
 class Members:
-    """At each machine of the core: who is missing and who stands by; at the head, the changes of the group."""
+    """At each machine of the core: who stands by; at the head, the changes of the group."""
 
-    def __init__(self, keeper: Keeper, losses: int, replace_after_s: float) -> None:
-        """A member that was silent for `replace_after_s` is gone for good (0: nobody ever is)."""
+    def __init__(self, keeper: Keeper, losses: int) -> None:
         self.keeper = keeper
         self.losses = losses
-        self.replace_after_s = replace_after_s
-        self.silent_since_s: dict[str, float] = {}
-        """Addresses of members that are not heard while this machine leads; since when."""
-        self.ticked_s: float | None = None
         self.levelled: dict[str, int] = {}
         """Names of machines that stand by, and the newest entry that each has told that it holds."""
-        self.told_level_s = -LEVEL_FIRST_S
+        self.told_level_s: dict[str, float] = {}
+        """When each machine that stands by was last told of the newest entry, by address."""
         self.proposed: tuple[int, frozenset[str]] | None = None
         """The epoch of the view whose group was to be changed, and to which addresses."""
-        self.told = ""
-        """What the automatic replacement last waited for."""
 
     # -- what is known -------------------------------------------------------------------------------------
 
@@ -169,13 +163,6 @@
         keeper = self.keeper
         return keeper.member is not None and keeper.member.is_head() and keeper.leads(now_s)
 
-    def watches(self, now_s: float) -> bool:
-        """Whether others' silence is this machine's to count: it is the head of the view that it holds, active yet or
-        not, and a majority is in reach."""
-        keeper = self.keeper
-        return (keeper.member is not None and keeper.member.is_head()
-                and now_s - keeper.contact_s(now_s) <= DEAD_S)
-
     def known(self, now_s: float) -> Known:
         view, newest = self.keeper.view, self.keeper.newest()
         assert view is not None
@@ -228,9 +215,10 @@
         """Tell a stand-by of view and newest entry, so that it has both before it counts."""
         keeper, view = self.keeper, self.keeper.view
         first = keeper.heard[ip].standing == EMPTY
-        if view is None or now_s - self.told_level_s < (LEVEL_FIRST_S if first else LEVEL_AGAIN_S):
+        again_s = LEVEL_FIRST_S if first else LEVEL_AGAIN_S
+        if view is None or now_s - self.told_level_s.get(ip, NEVER_S) < again_s:
             return []
-        self.told_level_s = now_s
+        self.told_level_s[ip] = now_s
         entry = keeper.newest() or Entry(0, 0, 0, 0, b"")
         return [Tell(ip, frames.Level(keeper.heard[ip].name, keeper.ip, view.epoch, view.chain, view.group,
                                       entry.number, entry.epoch, entry.revision, entry.base, entry.body,
@@ -259,49 +247,3 @@
         if not wrong:
             self.levelled[frame.name] = frame.number
         return []
-
-    # -- members that are gone for good ----------------------------------------------------------------------
-
-    def tick(self, now_s: float) -> list[Action]:
-        """Count silences, and replace who is gone for good by a machine that stands by."""
-        # What it was told before says nothing of the time in which it stood still.
-        stood_still = self.ticked_s is None or now_s - self.ticked_s > STOOD_STILL_S
-        self.ticked_s = now_s
-        keeper = self.keeper
-        if stood_still or not self.watches(now_s):
-            self.silent_since_s.clear()
-            return []
-        assert keeper.view is not None
-        silent = {ip for name in keeper.view.group if (ip := ip_of(name)) != keeper.ip
-                  and not keeper.heard_lately(ip, now_s)}
-        self.silent_since_s = {ip: self.silent_since_s.get(ip, now_s) for ip in silent}
-        change = self.due(now_s)
-        if change is None or not self.heads(now_s):
-            self.told = ""
-            return []
-        verdict = judge(change, self.known(now_s))
-        self.told = verdict.text
-        return self.carry_on(verdict, now_s)
-
-    def due(self, now_s: float) -> Change | None:
-        """The replacement that is to be made by itself. A group with one member more than the least is in the middle
-        of one: who is gone for good is let go then."""
-        gone = [ip for ip, since_s in sorted(self.silent_since_s.items())
-                if self.replace_after_s and now_s - since_s >= self.replace_after_s]
-        if not gone:
-            return None
-        assert self.keeper.view is not None
-        base = frozenset(ip_of(name) for name in self.keeper.view.group)
-        least = 2 * self.losses + 1
-        if len(base) == least + 1:
-            return Change(REMOVE, gone[0], "", base)
-        # One that was a member once was let go: only an operator takes it in again.
-        new = [ip for ip in sorted(self.standing_by(now_s)) if self.keeper.heard[ip].standing != COUNTED]
-        return Change(REPLACE, gone[0], new[0], base) if len(base) <= least and new else None
-
-    def describe(self, ident: int, now_s: float) -> frames.StandingBy:
-        """For an operator: who stands by, and which members are not heard here, for how many seconds."""
-        silent = sorted(self.silent_since_s.items())
-        return frames.StandingBy(ident, self.keeper.name, tuple(sorted(self.standing_by(now_s).values())),
-                                 tuple(f"{ip} {now_s - since_s:.0f}" for ip, since_s in silent), self.told)
-
--- a/cypressbeam/node.py
+++ b/cypressbeam/node.py
@@ -152,6 +152,9 @@
     async def stop(self) -> None:
         """In order: unready, go on serving until clients stay away, answer what is in hand, end."""
         ends_s = self.loop.time() + self.settings.envelope.grace_period_s - STOP_MARGIN_S
+        leaving = self.loop.create_task(self.hand_over(ends_s - CLOSE_S))
+        if self.gate is None:
+            await leaving  # its children are fed meanwhile
         self.relay.leave()
         for frontend in self.frontends:
             frontend.stopping = True
@@ -169,6 +172,7 @@
                 frontend.refuse_partial()
             await asyncio.sleep(0.05)
             self.gate.upstream.close()
+        await leaving
         if self.core is not None:
             self.core.close()
             if not await self.core.store.closed(CLOSE_S):
@@ -176,6 +180,11 @@
         self.watch.close()
         self.peers.close()
 
+    async def hand_over(self, until_s: float) -> None:
+        """Leave the core's group, if another machine can take this one's place."""
+        if self.core is not None:
+            await self.core.hand_over(until_s)
+
     def reload(self, environ: Mapping[str, str]) -> None:
         """Take up a changed settings file: the seeds; all else waits for a restart. A wrong one changes nothing."""
         try:
@@ -270,7 +279,7 @@
             return
         self.watch.take(place.watches, place.watch_names)
         if self.core is not None:
-            self.core.greet(place.members)
+            self.core.greet()
         if self.gate is not None:
             self.gate.take_fleet(self.relay.fronts or 1, place.index)
 
--- /dev/null
+++ b/cypressbeam/replacement.py
@@ -0,0 +1,172 @@
+"""Automatic replacement of members of the configuration group by spares. Pure: time in, actions out.
+
+A spare is a machine with a disk that runs, is reached, and is no member. A machine that is gone for good, one that
+restarts and one that is cut off look alike for a while, so the rule is chosen such that a wrong guess is cheap: a
+member that comes back after it was replaced is a spare, with all its data, and takes the place of the next member that
+falls silent. Data is never at risk, for a replacement is an ordinary change of the group (members.py): the spare holds
+the newest entry before it counts, and nobody is removed before that.
+
+- Every member counts the silence of the others, so that a new head does not begin anew. Only the head acts on it.
+- A group of an odd number replaces a silent member: the spare is added, then the member removed. Once the spare is
+  added the replacement is carried to its end, also if the member comes back meanwhile.
+- A group of an even number, larger than the least, removes a silent member.
+- Spares are brought level before they are needed: a new one at once, any of them while a member is silent.
+- A member that is told to stop asks for its own replacement before its process ends, if there is a spare.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from cypressbeam import frames
+from cypressbeam.agreement import COUNTED, DEAD_S, EMPTY, STOOD_STILL_S, Action
+from cypressbeam.chain import ip_of
+from cypressbeam.members import REMOVE, REPLACE, Change, Members, judge
+
+
+class SilenceClock:
+    """Since when others have not been heard, by a process that itself runs and is in contact."""
+
+    def __init__(self) -> None:
+        self.since_s: dict[str, float] = {}
+        """By address, on this machine's steady clock."""
+        self.ticked_s: float | None = None
+
+    def tick(self, now_s: float) -> bool:
+        """Whether the process ran since the last tick. What it was told before says nothing of the time in which it
+        stood still, so that ends all silences."""
+        stood_still = self.ticked_s is None or now_s - self.ticked_s > STOOD_STILL_S
+        self.ticked_s = now_s
+        if stood_still:
+            self.since_s.clear()
+        return not stood_still
+
+    def update(self, addresses: Iterable[str], heard: Callable[[str, float], bool], now_s: float) -> None:
+        """Count for those that are not heard; forget the others."""
+        silent = [ip for ip in addresses if not heard(ip, now_s)]
+        self.since_s = {ip: self.since_s.get(ip, now_s) for ip in silent}
+
+    def longest(self, least_s: float, now_s: float) -> list[str]:
+        """Addresses that were silent for at least so long, longest first."""
+        due = [(since_s, ip) for ip, since_s in self.since_s.items() if now_s - since_s >= least_s]
+        return [ip for _, ip in sorted(due)]
+
+
+class Replacement:
+    """At each machine of the core: who is silent and who is a spare; at the head, the replacements."""
+
+    def __init__(self, members: Members, replace_after_s: float) -> None:
+        """A member is replaced once it was not heard lately (agreement.DEAD_S) for `replace_after_s` more seconds; 0:
+        never."""
+        self.members = members
+        self.replica = members.keeper
+        self.replace_after_s = replace_after_s
+        self.silence = SilenceClock()
+        self.begun: Change | None = None
+        """The replacement that is under way, as this machine sees it."""
+        self.status = ""
+        """What a replacement last waited for, for operators."""
+
+    # -- what is known -------------------------------------------------------------------------------------
+
+    def group(self) -> frozenset[str]:
+        """The members' addresses; empty before a view is known."""
+        view = self.replica.view
+        return frozenset(ip_of(name) for name in view.group) if view is not None else frozenset()
+
+    def in_contact(self, now_s: float) -> bool:
+        """Whether this machine is a member with a majority in reach: only then others' silence says something."""
+        view = self.replica.view
+        return (view is not None and self.replica.name in view.group
+                and now_s - self.replica.contact_s(now_s) <= DEAD_S)
+
+    def has_one_too_many(self, group: frozenset[str]) -> bool:
+        """An even number bears no more losses than the odd one below it, and needs one machine more for a majority."""
+        least = 2 * self.members.losses + 1
+        return len(group) > least and len(group) % 2 == 0
+
+    def spares(self, now_s: float) -> list[str]:
+        """Addresses, best first: machines that were never members, then former ones."""
+        heard = self.replica.heard
+        return sorted(self.members.standing_by(now_s), key=lambda ip: (heard[ip].standing == COUNTED, ip))
+
+    # -- at the head ---------------------------------------------------------------------------------------
+
+    def tick(self, now_s: float) -> list[Action]:
+        """Count silences; at the head, begin or go on with a replacement."""
+        ran = self.silence.tick(now_s)
+        if not ran or not self.in_contact(now_s):
+            self.silence.since_s.clear()
+            return []
+        others = self.group() - {self.replica.ip}
+        self.silence.update(others, self.replica.heard_lately, now_s)
+        change = self.begun = self.next_change(now_s)
+        if not self.members.heads(now_s):
+            self.status = ""
+            return []
+        if change is None:
+            self.status = ""
+            return self.level_spares(now_s)
+        verdict = judge(change, self.members.known(now_s))
+        self.status = verdict.text
+        return self.members.carry_on(verdict, now_s)
+
+    def next_change(self, now_s: float) -> Change | None:
+        """The change of the group that is to be made by itself, if any."""
+        begun, group = self.begun, self.group()
+        if begun is not None and begun.kind == REPLACE and group == begun.base | {begun.new}:
+            return self.rest_of(begun)
+        gone = self.silence.longest(self.replace_after_s, now_s) if self.replace_after_s else []
+        if not gone:
+            return None
+        if self.has_one_too_many(group):
+            return Change(REMOVE, gone[0], "", group)
+        spares = self.spares(now_s)
+        return Change(REPLACE, gone[0], spares[0], group) if spares else None
+
+    def rest_of(self, begun: Change) -> Change:
+        """The second step of a replacement. Where the spare has fallen silent and the old member is back, that is the
+        one to keep."""
+        silent = self.silence.since_s
+        if begun.new in silent and begun.old not in silent:
+            return Change(REPLACE, begun.new, begun.old, (begun.base - {begun.old}) | {begun.new})
+        return begun
+
+    def level_spares(self, now_s: float) -> list[Action]:
+        """A new spare gets view and entry at once; the others the newest entry while a member is silent."""
+        known = self.members.known(now_s)
+        actions: list[Action] = []
+        for ip, name in known.standing_by.items():
+            new = self.replica.heard[ip].standing == EMPTY
+            if new or (self.silence.since_s and name not in known.level):
+                actions += self.members.level(ip, now_s)
+        return actions
+
+    # -- at a member that is told to stop ----------------------------------------------------------------------
+
+    def departure(self, now_s: float) -> Change | None:
+        """The change by which this machine leaves the group. None: it is no member, there is no spare, or no majority
+        that could decide it."""
+        if not self.in_contact(now_s):
+            return None
+        group, own = self.group(), self.replica.ip
+        if self.has_one_too_many(group):
+            return Change(REMOVE, own, "", group)
+        spares = self.spares(now_s)
+        return Change(REPLACE, own, spares[0], group) if spares else None
+
+    def successors_lack_view(self, now_s: float) -> bool:
+        """Whether the view without this machine is not on the disks of all its chain yet: until then the old group may
+        have to decide once more."""
+        view, heard = self.replica.view, self.replica.heard
+        if view is None or self.replica.name in view.group:
+            return False
+        return any(self.replica.heard_lately(ip, now_s) and heard[ip].epoch < view.epoch for ip in view.members)
+
+    # -- for operators -----------------------------------------------------------------------------------------
+
+    def describe(self, ident: int, now_s: float) -> frames.StandingBy:
+        """Who stands by, and which members are not heard here, for how many seconds."""
+        silent = sorted(self.silence.since_s.items())
+        return frames.StandingBy(ident, self.replica.name, tuple(sorted(self.members.standing_by(now_s).values())),
+                                 tuple(f"{ip} {now_s - since_s:.0f}" for ip, since_s in silent), self.status)
--- a/cypressbeam/settings.py
+++ b/cypressbeam/settings.py
@@ -11,6 +11,8 @@
 
 VARIABLE = "CYPRESSBEAM_BOOT"
 T = TypeVar("T", int, float)
+#: A member is replaced after this share of `syncS`: the rest is for noticing its silence and for two views.
+REPLACE_SHARE = 0.25
 
 
 class SettingsError(Exception):
@@ -24,6 +26,8 @@
     converge_ms: int = 3000
     drain_deadline_ms: int = 3000
     grace_period_s: float = 6.0
+    sync_s: float = 4.0
+    """A machine that is back, or new, counts as lost for so long."""
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: float = 60.0
@@ -53,9 +57,9 @@
     envelope: Envelope
     share_faults: bool = True
     """Whether nodes tell each other which servers fail (docs/design/verdicts.md)."""
-    replace_after_s: float = 60.0
-    """A member that was silent for so long is gone for good, and a machine that stands by takes its place; 0: never.
-    Cuts, restarts and freezes of half a minute pass first (docs/design/members.md)."""
+    replace_after_s: float = 1.0
+    """A member that was silent for so long is replaced by a machine that stands by; 0: never. As a rule a quarter of
+    `syncS`, so that all of a replacement fits into that time (docs/design/members.md)."""
 
     @property
     def peer_port(self) -> int:
@@ -129,6 +133,7 @@
             raise SettingsError(f"{path}: line {number} is {line.strip()!r}; key=value is wanted")
         values[key.strip()] = value.strip()
     lines = Lines(path, values)
+    sync_s = lines.number("envelope.syncS", 4.0)
     state_dir = values.get("stateDir")
     return Settings(
         node=lines.text("node"), ip=lines.text("ip"), zone=values.get("zone", ""),
@@ -142,11 +147,11 @@
         machine_losses=lines.number("tolerance.machineLosses", 0),
         platform=lines.address("platform.address"),
         platform_per_s=lines.number("platform.ratePerS", 10.0), share_faults=lines.flag("gateway.shareFaults", True),
-        replace_after_s=lines.number("gateway.replaceAfterS", 60.0),
+        replace_after_s=lines.number("gateway.replaceAfterS", REPLACE_SHARE * sync_s),
         envelope=Envelope(
             converge_ms=lines.number("envelope.convergeMs", 3000),
             drain_deadline_ms=lines.number("envelope.drainDeadlineMs", 3000),
-            grace_period_s=lines.number("envelope.gracePeriodS", 6.0),
+            grace_period_s=lines.number("envelope.gracePeriodS", 6.0), sync_s=sync_s,
             retry_ratio=lines.number("envelope.retryRatio", 0.2),
             retry_window_s=lines.number("envelope.retryWindowS", 10.0),
             retry_slack=lines.number("envelope.retrySlack", 60.0)))
--- a/lab/turnover.py
+++ b/lab/turnover.py
@@ -19,6 +19,7 @@
 from cypressbeam.agreement import COUNTED, Keeper
 from cypressbeam.chain import View, ip_of
 from cypressbeam.members import ADD, REMOVE, REPLACE, Members
+from cypressbeam.replacement import Replacement
 from lab import faults, histories, plans
 from lab.faults import Patch
 from lab.histories import AGAIN_S, CLIENT, Violation, World, demand
@@ -26,7 +27,7 @@
 
 LOSSES = 1
 #: Seconds for which an operator goes on asking for a change; a member that is silent for so long is gone for good.
-CHANGE_S, REPLACE_AFTER_S = 6.0, 5.0
+CHANGE_S, REPLACE_AFTER_S = 6.0, 1.0
 
 
 @dataclass
@@ -42,8 +43,10 @@
 
 
 class Turnover(World):
-    def __init__(self, seed: int, **options: Any) -> None:
+    def __init__(self, seed: int, replace_after_s: float = REPLACE_AFTER_S, **options: Any) -> None:
+        self.replace_after_s = replace_after_s
         self.members: dict[str, Members] = {}
+        self.replacements: dict[str, Replacement] = {}
         self.asked: dict[int, Asked] = {}
         self.steps = 0
         """Views that became active with another group than the one before."""
@@ -52,7 +55,8 @@
 
     def start(self, ip: str) -> None:
         super().start(ip)
-        self.members[ip] = Members(self.keepers[ip], LOSSES, REPLACE_AFTER_S)
+        self.members[ip] = Members(self.keepers[ip], LOSSES)
+        self.replacements[ip] = Replacement(self.members[ip], self.replace_after_s)
 
     def group(self) -> tuple[str, ...]:
         """Addresses of the newest group that anybody holds."""
@@ -88,7 +92,7 @@
 
     def tick(self, ip: str) -> None:
         super().tick(ip)
-        self.carry_out(ip, self.members[ip].tick(self.now_s))
+        self.carry_out(ip, self.replacements[ip].tick(self.now_s))
 
     # -- operators of the group ------------------------------------------------------------------------------
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -60,8 +60,12 @@
 # -- the rules on a simulated core ---------------------------------------------------------------------------------
 
 
-def world_at_rest(seed: int = 3) -> Turnover:
-    world = Turnover(seed, loss=0.0)
+#: Long enough to tell a restart from a machine that is gone for good.
+PATIENT_S = 5.0
+
+
+def world_at_rest(seed: int = 3, replace_after_s: float = turnover.REPLACE_AFTER_S) -> Turnover:
+    world = Turnover(seed, replace_after_s, loss=0.0)
     world.run(1.0)
     ordered(world)
     return world
@@ -186,26 +190,26 @@
 
 
 def test_a_head_that_stood_still_counts_no_silence_from_before() -> None:
-    world = world_at_rest()
+    world = world_at_rest(replace_after_s=PATIENT_S)
     head = newest(world).head
     victim = next(ip for ip in "abc" if ip != head)
     world.stop(victim)
     world.run(world.now_s + 3.0)
-    here, keeper = world.members[newest(world).head], world.keepers[newest(world).head]
-    assert list(here.silent_since_s) == [victim]
+    here, keeper = world.replacements[newest(world).head], world.keepers[newest(world).head]
+    assert list(here.silence.since_s) == [victim]
     for heard in keeper.heard.values():  # old pulses, read all at once when it goes on
         heard.at_s += 30.0 if heard.name != f"{victim}/0" else 0.0
-    assert here.heads(world.now_s + 30.0)
+    assert here.members.heads(world.now_s + 30.0)
     here.tick(world.now_s + 30.0)
-    assert not here.silent_since_s and here.due(world.now_s + 30.0) is None
+    assert not here.silence.since_s and here.next_change(world.now_s + 30.0) is None
 
 
 def test_only_a_member_that_is_silent_for_long_is_replaced_by_itself() -> None:
-    world = world_at_rest()
+    world = world_at_rest(replace_after_s=PATIENT_S)
     world.run(world.now_s + 2.0)
     victim = ip_of(newest(world).chain[-1])
     world.stop(victim)
-    world.run(world.now_s + turnover.REPLACE_AFTER_S - 0.5)
+    world.run(world.now_s + PATIENT_S - 0.5)
     world.start(victim)
     world.run(world.now_s + 4.0)
     assert group_of(world) == "abc"  # a restart is no loss
@@ -214,7 +218,7 @@
     world.run(world.now_s + 8.0)
     assert group_of(world) == "abc"  # nor has one that stood still a word on others' silence
     world.stop(victim)
-    world.run(world.now_s + turnover.REPLACE_AFTER_S + DEAD_S + 5.0)
+    world.run(world.now_s + PATIENT_S + DEAD_S + 5.0)
     assert victim not in group_of(world) and len(group_of(world)) == 3
     others = newest(world).members
     world.stop(others[0])  # a second loss
--- /dev/null
+++ b/tests/test_replacement.py
@@ -0,0 +1,186 @@
+"""Automatic replacement: silent members, spares, and members that are told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+
+import pytest
+
+from cypressbeam.chain import ip_of
+from cypressbeam.members import ADD, REMOVE, REPLACE, Change
+from cypressbeam.replacement import SilenceClock
+from cypressbeam.settings import SettingsError, parse
+from lab import repair, replacements
+from lab.replacements import FALSE_ALARM, PLANNED, UNPLANNED, Case
+from lab.turnover import Turnover
+from tests.test_members import asks, group_of, newest, ordered, world_at_rest
+
+pytestmark = pytest.mark.usefixtures("quiet")
+
+SETTINGS = """node=core-1
+ip=10.0.0.1
+listeners.control=10.0.0.1:8649
+internalPorts=7620,7635
+quorumMember=true
+"""
+
+
+def head_of(world: Turnover) -> str:
+    return newest(world).head
+
+
+# -- the rules, on the simulated core ------------------------------------------------------------------------------
+
+
+def test_silence_counts_only_while_the_process_runs() -> None:
+    clock = SilenceClock()
+    assert not clock.tick(10.0) and clock.tick(10.1)
+    clock.update(["a", "b"], lambda ip, now_s: ip == "b", 10.1)
+    assert clock.tick(10.2)
+    clock.update(["a", "b"], lambda ip, now_s: ip == "b", 10.2)
+    assert clock.longest(0.09, 10.2) == ["a"] and clock.longest(0.2, 10.2) == []
+    assert not clock.tick(20.0) and clock.longest(0.0, 20.0) == []
+
+
+def test_a_silent_member_is_replaced_by_a_spare_and_comes_back_as_one() -> None:
+    world = world_at_rest()
+    victim = next(ip for ip in "abc" if ip != head_of(world))
+    world.stop(victim)
+    world.run(world.now_s + 4.0)
+    assert group_of(world) == "".join(sorted(set("abcd") - {victim}))
+    world.start(victim)
+    world.run(world.now_s + 2.0)
+    assert victim in world.members[head_of(world)].standing_by(world.now_s)
+    for ip in "de":  # no machine is left that was never a member
+        world.stop(ip)
+    world.run(world.now_s + 4.0)
+    assert group_of(world) == "abc"
+    ordered(world)
+
+
+def test_a_machine_that_was_never_a_member_goes_before_a_former_one() -> None:
+    world = world_at_rest()
+    world.stop("a")
+    world.run(world.now_s + 4.0)
+    world.start("a")
+    world.run(world.now_s + 2.0)
+    here = world.replacements[head_of(world)]
+    assert here.spares(world.now_s) == ["e", "a"]
+
+
+def test_every_member_counts_silences_so_that_a_new_head_goes_on() -> None:
+    world = world_at_rest(replace_after_s=60.0)
+    first = head_of(world)
+    victim = next(ip for ip in "abc" if ip != first)
+    other = next(ip for ip in "abc" if ip not in (first, victim))
+    world.stop(victim)
+    world.run(world.now_s + 3.0)
+    here = world.replacements[other]
+    here.silence.since_s[victim] -= 60.0
+    assert here.next_change(world.now_s) == Change(REPLACE, victim, "d", frozenset("abc"))
+
+
+def test_a_replacement_that_was_begun_is_carried_to_its_end_or_taken_back() -> None:
+    world = world_at_rest()
+    here = world.replacements[head_of(world)]
+    begun = here.begun = Change(REPLACE, "b", "d", frozenset("abc"))
+    assert here.rest_of(begun) == begun
+    here.silence.since_s = {"d": world.now_s}
+    assert here.rest_of(begun) == Change(REPLACE, "d", "b", frozenset("acd"))
+    here.silence.since_s = {"d": world.now_s, "b": world.now_s}
+    assert here.rest_of(begun) == begun
+
+
+def test_an_even_group_lets_its_silent_member_go() -> None:
+    world = world_at_rest(replace_after_s=60.0)
+    assert asks(world, ADD, "", "d", "abc") == 200 and group_of(world) == "abcd"
+    silent = next(ip for ip in "abc" if ip != head_of(world))
+    here = world.replacements[head_of(world)]
+    here.silence.since_s = {silent: world.now_s - 60.0}
+    assert here.next_change(world.now_s) == Change(REMOVE, silent, "", frozenset("abcd"))
+
+
+def test_who_leaves_asks_for_a_spare_in_its_place_and_is_none_itself() -> None:
+    world = world_at_rest()
+    here = world.replacements["a"]
+    assert here.departure(world.now_s) == Change(REPLACE, "a", "d", frozenset("abc"))
+    for ip in "de":
+        world.stop(ip)
+    world.run(world.now_s + 2.0)
+    assert here.departure(world.now_s) is None  # nobody is there: nobody is waited for
+    spare = world.keepers["b"]
+    assert spare.view is not None
+    spare.leaving = True
+    assert spare.offers_disk(world.now_s)  # as long as it is a member
+    spare.view = type(spare.view)(spare.view.epoch, ("a/0", "c/0"), ("a/0", "c/0", "d/0"))
+    assert not spare.offers_disk(world.now_s)
+
+
+def test_without_a_majority_in_reach_nobody_waits_for_a_replacement() -> None:
+    world = world_at_rest()
+    for ip in "bc":
+        world.stop(ip)
+    world.run(world.now_s + 3.0)
+    assert world.replacements["a"].departure(world.now_s) is None
+
+
+def test_a_new_spare_is_level_before_it_is_needed() -> None:
+    world = world_at_rest()
+    world.run(world.now_s + 2.0)
+    view = world.disks["d"].view
+    assert view is not None and ip_of(world.disks["d"].name) not in {ip_of(name) for name in view.group}
+
+
+# -- whole nodes -----------------------------------------------------------------------------------------------------
+
+
+def test_a_replaced_machine_counts_as_lost_for_less_than_sync_s_and_the_next_loss_is_borne() -> None:
+    """Planned, unplanned, false alarms; heads, storms of changes, slow disks, cuts, thin links."""
+    for seed in range(24):
+        assert replacements.broken(replacements.play(seed)) == "", seed
+
+
+@pytest.mark.parametrize("kind", [UNPLANNED, PLANNED, FALSE_ALARM])
+@pytest.mark.parametrize("position", [0, 2])
+def test_two_changes_of_machines_and_then_a_loss(kind: str, position: int) -> None:
+    found = replacements.play(3, Case(kind, position, "second replacement", 1.2, 3, repair.CORE_MBPS))
+    assert replacements.broken(found) == "" and math.inf not in found.replaced_s
+
+
+@pytest.mark.parametrize("fault", replacements.FAULTS)
+def test_a_rule_of_replacements_that_is_left_out_is_noticed(fault: str) -> None:
+    assert replacements.search(range(12), fault) is not None
+
+
+def test_a_machine_that_is_told_to_stop_with_no_spare_there_ends_at_once() -> None:
+    cluster = replacements.Replacing(4, 1)
+
+    async def scenario() -> float:
+        await repair.begin(cluster)
+        machine = cluster.machines[0]
+        began_s = cluster.loop.time()
+        await cluster.told_to_stop(machine)
+        took_s: float = cluster.loop.time() - began_s
+        await asyncio.sleep(1.0)
+        return took_s
+    try:
+        assert cluster.run(scenario()) < 0.5
+    finally:
+        cluster.close()
+
+
+# -- settings --------------------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("lines", "seconds"), [
+    ("", 1.0), ("envelope.syncS=6\n", 1.5), ("envelope.syncS=6\ngateway.replaceAfterS=9\n", 9.0),
+    ("gateway.replaceAfterS=0\n", 0.0)])
+def test_a_member_is_replaced_well_within_sync_s_unless_told_otherwise(lines: str, seconds: float) -> None:
+    assert parse(SETTINGS + lines, "boot.conf").replace_after_s == seconds
+
+
+@pytest.mark.parametrize("value", ["-1", "soon", "nan", "inf"])
+def test_a_wrong_time_ends_the_start_with_file_key_found_and_wanted(value: str) -> None:
+    with pytest.raises(SettingsError, match=rf"boot.conf: gateway.replaceAfterS is '{value}'; .* is wanted"):
+        parse(SETTINGS + f"gateway.replaceAfterS={value}\n", "boot.conf")
