--- a/cypressbeam/cli.py
+++ b/cypressbeam/cli.py
@@ -480,6 +480,30 @@
     sys.exit(3 if found is not None else 0)
 
 
+@lab.command("write-days")
+@click.argument("folder", type=click.Path(file_okay=False, path_type=Path))
+@click.option("--seed", default=1, show_default=True, help="Another seed gives other days; the same one the same.")
+@click.option("--days", default=20, show_default=True, type=click.IntRange(1, 10_000), help="How many.")
+@click.option("--length", "length_s", default=32.0, show_default=True, type=click.FloatRange(5.0),
+              help="Seconds of traffic in a day.")
+@click.option("--kinds-of", "listing", type=FILE, help="Only the kinds that this file lists, one `name: text` a line.")
+@click.option("--only", default="", help="Only these kinds, joined by commas.")
+def write_days(folder: Path, seed: int, days: int, length_s: float, listing: Path | None, only: str) -> None:
+    """Write test days of a deployment into FOLDER, as TOML files; plays nothing. Without --kinds-of, of all kinds."""
+    from lab.drawn_days import writing
+    from lab.drawn_days.listing import ListingError, allowed_kinds
+
+    try:
+        kinds, left_out = allowed_kinds(listing, only.split(",") if only else ())
+        files = writing.write_days(folder, kinds, seed, days, length_s)
+    except (OSError, UnicodeDecodeError, ListingError) as err:
+        click.echo(f"cypressbeam: {err}", err=True)
+        sys.exit(2)
+    if left_out:
+        click.echo(f"cypressbeam: left out, as not in the table of kinds: {', '.join(left_out)}", err=True)
+    click.echo(f"{len(files)} days of {len(kinds)} kinds in {folder}, {files[0].name} to {files[-1].name}")
+
+
 @lab.command()
 @click.argument("file", type=FILE, required=False)
 @click.option("--set", "settings", multiple=True, metavar="MODULE.NAME=VALUE",
