Split operate.py into cypressbeam/admin, a module a job

operate.py did five jobs: calls to a control listener, the state, the members of the core, the configuration (in force and as a file) and the saved state. Each is a module now: calls, status, membership, config_calls, config_file, backup, with the two errors in `errors`.

Tests import the new modules; nothing else in them has changed.

--- /dev/null
+++ b/cypressbeam/admin/backup.py
@@ -0,0 +1,57 @@
+"""The state of the system saved to a file, and brought back."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import cbor2
+
+from cypressbeam import configuration
+from cypressbeam.admin.config_calls import push, read, revision
+from cypressbeam.admin.errors import Refused, Unusable
+from cypressbeam.admin.status import read_state
+from cypressbeam.configuration import Invalid
+from cypressbeam.files import write_whole
+from mallowworks.discovery import Address
+
+#: The first field of a saved state, and its version.
+BACKUP_FORMAT = "cypressbeam state 1"
+
+
+async def backup(where: Address, file: Path) -> str:
+    """What is lost with all disks is the configuration: the rest is agreed on anew. The file is whole or not there."""
+    body = await read(where)
+    told = await read_state(where)
+    number = configuration.read(body).revision
+    data = cbor2.dumps({"format": BACKUP_FORMAT, "revision": number, "digest": configuration.digest(body),
+                        "epoch": told["epoch"], "body": body})
+    write_whole(file, data)
+    return f"revision {number} saved to {file}"
+
+
+def read_backup(file: Path) -> tuple[int, bytes]:
+    """Revision and body. Raises Unusable for what is no whole saved state."""
+    try:
+        saved = cbor2.loads(file.read_bytes())
+        if saved["format"] != BACKUP_FORMAT:
+            raise Unusable(f"{file}: format {saved['format']!r}; {BACKUP_FORMAT!r} is wanted")
+        body: bytes = saved["body"]
+        if configuration.digest(body) != saved["digest"]:
+            raise Unusable(f"{file}: the body does not match its digest")
+        return configuration.read(body).revision, body
+    except (cbor2.CBORError, Invalid, KeyError, TypeError, ValueError) as err:
+        raise Unusable(f"{file}: no saved state: {err}") from None
+
+
+async def restore(where: Address, file: Path, over: bool) -> str:
+    """Raises Refused where the system holds something newer, unless it is to go over that: nodes never take an older
+    revision, so what was saved then comes back under the next number."""
+    saved, body = read_backup(file)
+    held = await revision(where)
+    if held >= saved:
+        if await read(where) == body:
+            return f"revision {saved} is in force already"
+        if not over:
+            raise Refused(f"revision {held} is in force, {saved} was saved; --over brings it back as {held + 1}")
+        body = cbor2.dumps(cbor2.loads(body) | {"revision": held + 1})
+    return await push(where, body, held)
--- /dev/null
+++ b/cypressbeam/admin/status.py
@@ -0,0 +1,39 @@
+"""The state of the core and of one node, and how it reads on a screen."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from cypressbeam.admin.calls import call
+from cypressbeam.admin.errors import Refused
+from cypressbeam.survey import STATE
+from mallowworks.discovery import Address
+
+
+async def read_state(where: Address) -> dict[str, Any]:
+    """The state as a node tells it. Raises Refused."""
+    answer = await call(where, "GET", STATE)
+    if answer.status != 200:
+        raise Refused(f"{answer.status}: {answer.body.decode(errors='replace').strip()}")
+    told: dict[str, Any] = msgspec.json.decode(answer.body)
+    return told
+
+
+def describe_state(told: dict[str, Any]) -> str:
+    """A line for the node, one for the chain and one for each machine of the core."""
+    node = told["node"]
+    lines = [f"node {node['name']} at {node['ip']}: revision {node['revision']}, {node['servers']} servers"
+             f" (list {node['list']}), news from {node['parent'] or 'itself'}, {node['fronts']} nodes carry traffic",
+             f"it has seen epoch {node['epoch']}, and the root's word "
+             + (f"{node['age_s']:.1f} s ago" if node["age_s"] is not None else "never"),
+             f"epoch {told['epoch']}, chain {' > '.join(told['chain']) or 'not known'}"]
+    for member in told["members"]:
+        if not member["answers"]:
+            lines.append(f"  {member['ip']:15} does not answer")
+            continue
+        lines.append(f"  {member['ip']:15} epoch {member['epoch']}, revision {member['revision']},"
+                     f" lag {member['lag']}, {'active' if member['active'] else 'not active'},"
+                     f" disk {'works' if member['disk'] else 'refuses'}{', root' if member['root'] else ''}")
+    return "\n".join(lines)
--- a/cypressbeam/cli.py
+++ b/cypressbeam/cli.py
@@ -15,7 +15,7 @@
 import msgspec
 import uvloop
 
-from cypressbeam import operate
+from cypressbeam.admin import backup, config_calls, config_file, errors, membership, status
 from mallowworks.discovery import Address, read_address
 
 T = TypeVar("T")
@@ -43,10 +43,10 @@
     """Run a call to a system. Exit code 1 with one line where it can't be done, 3 where the system refuses."""
     try:
         return uvloop.run(what)
-    except operate.Refused as err:
+    except errors.Refused as err:
         click.echo(f"cypressbeam: {err}", err=True)
         sys.exit(3)
-    except (OSError, EOFError, TimeoutError, operate.Unusable) as err:
+    except (OSError, EOFError, TimeoutError, errors.Unusable) as err:
         click.echo(f"cypressbeam: {err or type(err).__name__}", err=True)
         sys.exit(1)
 
@@ -79,16 +79,16 @@
     uvloop.run(run_up(edges))
 
 
-@main.command()
+@main.command("status")
 @click.argument("where", type=WHERE)
 @click.option("--json", "plain", is_flag=True, help="The whole answer as JSON.")
-def status(where: Address, plain: bool) -> None:
+def show_status(where: Address, plain: bool) -> None:
     """The state of chain and view, as the node at WHERE (a control listener) learns it from the core.
 
     Shows the epoch, each machine of the core with its revision and how many entries it lags behind, and the node.
     """
-    told = reach(operate.state(where))
-    click.echo(as_json(told) if plain else operate.describe_state(told))
+    told = reach(status.read_state(where))
+    click.echo(as_json(told) if plain else status.describe_state(told))
 
 
 @main.command()
@@ -96,8 +96,8 @@
 @click.option("--json", "plain", is_flag=True, help="The whole answer as JSON.")
 def members(where: Address, plain: bool) -> None:
     """Who belongs to the core: its group, which of them hold whole copies, who is missing, and who stands by."""
-    told = reach(operate.state(where))
-    click.echo(as_json(told) if plain else operate.describe_members(told))
+    told = reach(status.read_state(where))
+    click.echo(as_json(told) if plain else membership.describe_members(told))
 
 
 @main.group()
@@ -110,7 +110,8 @@
 
 
 def change_members(where: Address, change: str, old: str, new: str, plain: bool) -> None:
-    done = reach(operate.change_members(where, change, old, new, lambda line: click.echo(f"waits: {line}", err=True)))
+    done = reach(membership.change_members(where, change, old, new,
+                                           lambda line: click.echo(f"waits: {line}", err=True)))
     click.echo(as_json(done) if plain else done["text"])
 
 
@@ -155,8 +156,8 @@
 @click.option("--json", "plain", is_flag=True, help="The findings as JSON.")
 def check(file: Path, plain: bool) -> None:
     """Explain a configuration before it is sent: what is invalid, what is odd, and where each route leads."""
-    found = reach(operate.check(file))
-    click.echo(as_json(found) if plain else operate.describe_check(found))
+    found = reach(config_file.check(file))
+    click.echo(as_json(found) if plain else config_file.describe_check(found))
     sys.exit(3 if found["invalid"] else 0)
 
 
@@ -166,7 +167,7 @@
 @click.option("--base", type=int, help="The revision that it is to replace; without it, the one in force.")
 def push(where: Address, file: Path, base: int | None) -> None:
     """Replace the configuration. Done once it is on the disks of the whole chain."""
-    click.echo(reach(operate.push_file(where, file, base)))
+    click.echo(reach(config_calls.push_file(where, file, base)))
 
 
 @config.command()
@@ -174,7 +175,7 @@
 @click.argument("file", type=NEW_FILE, required=False)
 def get(where: Address, file: Path | None) -> None:
     """Read the configuration in force: its bytes into FILE, or as JSON onto the screen."""
-    body = reach(operate.read(where))
+    body = reach(config_calls.read(where))
     if file is None:
         click.echo(as_json(cbor2.loads(body)))
     else:
@@ -186,17 +187,17 @@
 @click.argument("file", type=FILE)
 def diff(where: Address, file: Path) -> None:
     """What FILE would change of the configuration in force. Exit code 3 if anything."""
-    lines = reach(operate.diff(where, file))
+    lines = reach(config_calls.diff(where, file))
     click.echo("\n".join(lines) or "the same")
     sys.exit(3 if lines else 0)
 
 
-@main.command()
+@main.command("backup")
 @click.argument("where", type=WHERE)
 @click.argument("file", type=NEW_FILE)
-def backup(where: Address, file: Path) -> None:
+def save_state(where: Address, file: Path) -> None:
     """Save the system's state to FILE: the configuration as committed, with its digest and the view it was read in."""
-    click.echo(reach(operate.backup(where, file)))
+    click.echo(reach(backup.backup(where, file)))
 
 
 @main.command()
@@ -205,7 +206,7 @@
 @click.option("--over", is_flag=True, help="Bring it back over a newer revision, under the next number.")
 def restore(where: Address, file: Path, over: bool) -> None:
     """Bring back what `backup` has saved, into a new system or over the state of one that runs."""
-    click.echo(reach(operate.restore(where, file, over)))
+    click.echo(reach(backup.restore(where, file, over)))
 
 
 #: Histories that one process plays before it tells of them.
@@ -217,10 +218,10 @@
     """Simulations and measurements that need no network: everything from a seed, on one machine."""
 
 
-@lab.command()
+@lab.command("membership")
 @click.option("--sizes", default="10,100,1000", show_default=True, help="Numbers of edge nodes.")
 @click.option("--seeds", default=3, show_default=True, help="Histories of each size.")
-def membership(sizes: str, seeds: int) -> None:
+def fleet_membership(sizes: str, seeds: int) -> None:
     """Joins, kills, cuts and loss in fleets of whole nodes on a simulated network; figures as a Markdown table."""
     from lab.membership import table
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -14,7 +14,7 @@
 
 import cbor2
 
-from cypressbeam import operate
+from cypressbeam.admin import config_calls
 from lab.standins import Platform, Server
 from lab.system import Machine, System, status_of
 from lab.up import HOST, demo_configuration, push, push_until_taken
@@ -216,7 +216,7 @@
                     assert answer.status == 200
             location = (answer.header(b"location") or b"").decode()
             assert location in [f"http://{core.ip}:{core.control[1]}/-/Configuration.Read" for core in cores]
-            assert await operate.read(edge.control) == cbor2.dumps(many)
+            assert await config_calls.read(edge.control) == cbor2.dumps(many)
     run(scenario())
 
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from cypressbeam import frames, operate
+from cypressbeam import frames
+from cypressbeam.admin import errors, membership, status
 from cypressbeam.agreement import DEAD_S
 from cypressbeam.chain import Tell, View, ip_of
 from cypressbeam.members import ADD, REMOVE, REPLACE, Change, Known, judge
@@ -361,8 +362,8 @@
                                 ((where, "add", "", spare.ip), "404: no machine with a disk"),
                                 ((where, "add", "", one.ip), "409: .* is a member already"),
                                 ((where, "remove", spare.ip, ""), "404: .* is no member")):
-                with pytest.raises(operate.Refused, match=told):
-                    await operate.change_members(*asked)
+                with pytest.raises(errors.Refused, match=told):
+                    await membership.change_members(*asked)
             bad = json.dumps({"change": "add", "new": spare.ip, "base": []}).encode()
             for body in (b"{", bad):
                 answer = await send(where, b"POST /-/System.Members HTTP/1.1\r\nHost: c\r\nContent-Length: %d\r\n\r\n%s"
@@ -371,16 +372,16 @@
             made.system.machines.append(spare)
             await made.system.start(spare)
             async with asyncio.timeout(20.0):
-                while not (await operate.state(where))["standingBy"]:
+                while not (await status.read_state(where))["standingBy"]:
                     await asyncio.sleep(0.1)
-            assert "stands by" in operate.describe_members(await operate.state(where))
+            assert "stands by" in membership.describe_members(await status.read_state(where))
             waited: list[str] = []
-            done = await operate.change_members(where, "replace", one.ip, spare.ip, waited.append)
+            done = await membership.change_members(where, "replace", one.ip, spare.ip, waited.append)
             assert one.ip not in done["group"] and spare.ip in done["group"] and waited
             await made.system.kill(one)
-            state = await operate.state(where)
+            state = await status.read_state(where)
             assert spare.ip in [ip_of(name) for name in state["chain"]] and len(state["group"]) == 3
             assert (await read_back(made.edges[0])).status == 200
-            assert operate.describe_members(state).startswith(f"epoch {state['epoch']}: 3 members, 2 are a majority")
+            assert membership.describe_members(state).startswith(f"epoch {state['epoch']}: 3 members, 2 are a majority")
     run(scenario())
 
--- a/tests/test_operate.py
+++ b/tests/test_operate.py
@@ -11,7 +11,8 @@
 import pytest
 from click.testing import CliRunner
 
-from cypressbeam import configuration, operate
+from cypressbeam import configuration
+from cypressbeam.admin import backup, config_calls, errors, status
 from cypressbeam.cli import main
 from lab.up import demo_configuration
 from tests.loopback import run
@@ -22,17 +23,17 @@
     async def scenario() -> None:
         async with rig(edges=1) as made:
             for machine in made.system.machines:
-                told = await operate.state(machine.control)
+                told = await status.read_state(machine.control)
                 assert told["node"]["name"] == machine.name and told["epoch"] >= 256 and len(told["chain"]) == 3
                 assert [(member["revision"], member["lag"], member["active"], member["disk"])
                         for member in told["members"]] == [(1, 0, True, True)] * 3
                 assert sum(member["root"] for member in told["members"]) == 1
             lost = made.system.machines[1]
             await made.system.kill(lost)
-            told = await operate.state(made.edges[0].control)
+            told = await status.read_state(made.edges[0].control)
             assert [member["ip"] for member in told["members"] if not member["answers"]] == [lost.ip]
-            assert f"{lost.ip:15} does not answer" in operate.describe_state(told)
-            assert f"it has seen epoch {told['node']['epoch']}, and the root's word" in operate.describe_state(told)
+            assert f"{lost.ip:15} does not answer" in status.describe_state(told)
+            assert f"it has seen epoch {told['node']['epoch']}, and the root's word" in status.describe_state(told)
     run(scenario())
 
 
@@ -40,24 +41,24 @@
     async def scenario() -> None:
         file = tmp_path / "state"
         async with rig(edges=1) as made:
-            assert "revision 1 saved" in await operate.backup(made.edges[0].control, file)
+            assert "revision 1 saved" in await backup.backup(made.edges[0].control, file)
         async with rig(edges=1, configured=False) as made:
             edge = made.edges[0]
             async with asyncio.timeout(20.0):
                 while True:
                     try:
-                        await operate.restore(edge.control, file, over=False)
+                        await backup.restore(edge.control, file, over=False)
                         break
-                    except (operate.Refused, OSError, EOFError):  # the new system has no chain yet
+                    except (errors.Refused, OSError, EOFError):  # the new system has no chain yet
                         await asyncio.sleep(0.05)
             assert (await read_back(edge)).body == DEMO
-            assert "in force already" in await operate.restore(edge.control, file, over=False)
-            await operate.push(edge.control, cbor2.dumps(demo_configuration(5)))
-            with pytest.raises(operate.Refused, match="--over brings it back as 6"):
-                await operate.restore(edge.control, file, over=False)
-            assert "revision 6 is in force" in await operate.restore(edge.control, file, over=True)
+            assert "in force already" in await backup.restore(edge.control, file, over=False)
+            await config_calls.push(edge.control, cbor2.dumps(demo_configuration(5)))
+            with pytest.raises(errors.Refused, match="--over brings it back as 6"):
+                await backup.restore(edge.control, file, over=False)
+            assert "revision 6 is in force" in await backup.restore(edge.control, file, over=True)
             assert cbor2.loads((await read_back(edge)).body) == demo_configuration(6)
-            assert await operate.diff(edge.control, written(tmp_path, demo_configuration(7))) == [
+            assert await config_calls.diff(edge.control, written(tmp_path, demo_configuration(7))) == [
                 "- revision = 6", "+ revision = 7"]
     run(scenario())
 
@@ -74,12 +75,12 @@
 def test_a_spoilt_saved_state_is_not_used(tmp_path: Path, spoil: Any) -> None:
     file = tmp_path / "state"
     digest = configuration.digest(DEMO)
-    whole = cbor2.dumps({"format": operate.BACKUP_FORMAT, "revision": 1, "digest": digest, "epoch": 256, "body": DEMO})
+    whole = cbor2.dumps({"format": backup.BACKUP_FORMAT, "revision": 1, "digest": digest, "epoch": 256, "body": DEMO})
     file.write_bytes(whole)
-    assert operate.read_backup(file) == (1, DEMO)
+    assert backup.read_backup(file) == (1, DEMO)
     file.write_bytes(spoil(whole))
-    with pytest.raises(operate.Unusable, match="state"):
-        operate.read_backup(file)
+    with pytest.raises(errors.Unusable, match="state"):
+        backup.read_backup(file)
 
 
 def test_a_configuration_is_explained_before_it_is_sent(tmp_path: Path) -> None:
