Split cli.py: operators' commands in cypressbeam/cli, lab's commands in lab, added by entry points

cypressbeam/cli.py held all 36 commands in 640 lines and imported lab for twenty of them, so the gateway depended on its own test bench.

`program` adds the commands that the entry points `cypressbeam.commands` name, and loads one only when it is asked for.

A node loads neither package, as before.

--- a/cypressbeam/__main__.py
+++ b/cypressbeam/__main__.py
@@ -16,7 +16,7 @@
         from cypressbeam.run import run_node
 
         return run_node(front)
-    from cypressbeam.cli import main as commands
+    from cypressbeam.cli.program import main as commands
 
     commands(prog_name="cypressbeam")
     return 0
--- /dev/null
+++ b/lab/commands/histories.py
@@ -0,0 +1,122 @@
+"""Searches through histories of trouble: each plays seeds until a rule is broken."""
+
+from __future__ import annotations
+
+import sys
+from concurrent.futures import ProcessPoolExecutor
+
+import click
+
+from lab.commands.parallel import BATCH, first_failure, silence_simulated_nodes
+
+
+@click.command()
+@click.option("--seeds", default=10_000, show_default=True, help="How many histories.")
+@click.option("--first", default=0, show_default=True, help="The first seed.")
+@click.option("--jobs", default=8, show_default=True, help="Processes at once.")
+@click.option("--fault", help="Leave out a rule, by its name, or `all` one after another: each must be found.")
+def core(seeds: int, first: int, jobs: int, fault: str | None) -> None:
+    """Histories of the core on a simulated network, clock and disk, checked for linearizability.
+
+    Exit code 3 if one fails, with its steps shrunk; with --fault, if none does.
+    """
+    from lab import faults, histories
+
+    names = list(faults.FAULTS) if fault == "all" else [fault or ""]
+    passed = True
+    for name in names:
+        found = first_failure(histories.search_with, name, range(first, first + seeds), jobs)
+        if found is not None and name:
+            with faults.fault(name) as options:
+                click.echo(f"{name}: found. {histories.report(found[0], **options)}")
+        elif found is not None:
+            click.echo(histories.report(found[0]))
+        else:
+            click.echo(f"{name or 'the rules as they are'}: {seeds} histories, nothing found")
+        passed = passed and (found is not None) == bool(name)
+    sys.exit(0 if passed else 3)
+
+
+@click.command()
+@click.option("--seeds", default=2_000, show_default=True, help="How many histories.")
+@click.option("--first", default=0, show_default=True, help="The first seed.")
+@click.option("--jobs", default=8, show_default=True, help="Processes at once.")
+@click.option("--fault", help="Leave out a rule, by its name, or `all` one after another: each must be found.")
+def turnover(seeds: int, first: int, jobs: int, fault: str | None) -> None:
+    """Histories of a core whose members come and go. Exit code 3 if one fails; with --fault, if none does."""
+    from lab.turnover import FAULTS, search_with
+
+    passed = True
+    for name in list(FAULTS) if fault == "all" else [fault or ""]:
+        found = first_failure(search_with, name, range(first, first + seeds), jobs)
+        told = f"seed {found[0]}: {found[1]}" if found is not None else f"{seeds} histories, nothing found"
+        click.echo(f"{name or 'the rules as they are'}: {told}")
+        passed = passed and (found is not None) == bool(name)
+    sys.exit(0 if passed else 3)
+
+
+@click.command()
+@click.option("--seeds", default=2000, show_default=True, help="How many storms.")
+@click.option("--first", default=0, show_default=True, help="The first seed.")
+@click.option("--jobs", default=8, show_default=True, help="Processes at once.")
+@click.option("--fault", help="Leave out a rule, by its name, or `all` one after another: each must be found.")
+def attempts(seeds: int, first: int, jobs: int, fault: str | None) -> None:
+    """All states of an attempt at a request, and storms of servers that do their worst (docs/design/attempts.md).
+
+    Exit code 3 if something does not hold; with --fault, if nothing is found.
+    """
+    from lab import attempts as worst
+
+    silence_simulated_nodes()
+    passed = True
+    for name in list(worst.FAULTS) if fault == "all" else [fault or ""]:
+        with worst.fault(name):
+            state = worst.search_states()
+        found = first_failure(worst.search_with, name, range(first, first + seeds), jobs)
+        told = f"state {state[0]}: {state[1]}" if state is not None else "all states as they should be"
+        storms = f"storm {found[0]}: {found[1]}" if found is not None else f"{seeds} storms, nothing found"
+        click.echo(f"{name or 'the rules as they are'}: {told}; {storms}")
+        passed = passed and (state is not None) == bool(name) and (found is None or bool(name))
+    sys.exit(0 if passed else 3)
+
+
+@click.command()
+@click.option("--seeds", default=200, show_default=True, help="How many histories.")
+@click.option("--first", default=0, show_default=True, help="The first seed.")
+@click.option("--jobs", default=8, show_default=True, help="Processes at once.")
+def chaos(seeds: int, first: int, jobs: int) -> None:
+    """Whole systems through kills, lost disks, cuts and the loss of all power, on a simulated network.
+
+    After each trouble the core must be whole, an order taken, and its news known by all. Exit code 3 if not.
+    """
+    from lab.chaos import search_with
+
+    found = first_failure(search_with, "", range(first, first + seeds), jobs)
+    click.echo(f"seed {found[0]}: {found[1]}" if found is not None else f"{seeds} histories, nothing found")
+    sys.exit(3 if found is not None else 0)
+
+
+@click.command()
+@click.option("--seeds", default=200, show_default=True, help="How many histories.")
+@click.option("--first", default=0, show_default=True, help="The first seed.")
+@click.option("--jobs", default=2, show_default=True, help="Processes at once.")
+@click.option("--fault", default="", help="Leave out a rule, by its name: it must be found.")
+def cuts(seeds: int, first: int, jobs: int, fault: str) -> None:
+    """Machines of the core cut off from each other: how soon all are under the new root and hold what was confirmed.
+
+    Exit code 3 if a bound is broken, or a node acts on the word of an epoch that is over; with --fault, if none does.
+    """
+    from lab.cuts import Report, search_with
+
+    silence_simulated_nodes()
+    report = Report()
+    batches = [(fault, range(at, min(at + BATCH, first + seeds))) for at in range(first, first + seeds, BATCH)]
+    with ProcessPoolExecutor(jobs, initializer=silence_simulated_nodes) as pool, click.progressbar(
+            pool.map(search_with, batches), len(batches), label=fault or "histories", file=sys.stderr) as results:
+        for part in results:
+            report.add(part)
+    click.echo(report.table())
+    for seed, text in sorted(report.broken)[:5]:
+        click.echo(f"seed {seed}: {text}")
+    click.echo(f"{report.played} histories, {len(report.broken)} broken")
+    sys.exit(3 if bool(report.broken) is not bool(fault) else 0)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -10,7 +10,7 @@
 import pytest
 from click.testing import CliRunner
 
-from cypressbeam.cli import main
+from cypressbeam.cli.program import main
 from lab import capacity
 from lab.capacity import CapacityError, Cost
 
@@ -28,8 +28,10 @@
     command: click.Command = main
     words = shlex.split(line)
     while isinstance(command, click.Group):
-        assert words and words[0] in command.commands, f"no command {words[:1]} of {command.name}"
-        command = command.commands[words.pop(0)]
+        named = command.get_command(click.Context(command), words[0]) if words else None
+        assert named is not None, f"no command {words[:1]} of {command.name}"
+        command = named
+        words.pop(0)
     with command.make_context(command.name, words):
         pass  # raises UsageError for an option or a value that there is not
 
--- a/tests/test_drawn_days.py
+++ b/tests/test_drawn_days.py
@@ -12,7 +12,7 @@
 import pytest
 from click.testing import CliRunner
 
-from cypressbeam.cli import main
+from cypressbeam.cli.program import main
 from lab.drawn_days.drawing import CLOSING_KINDS, CLOSING_VARIANTS, DrawnDay, draw_day
 from lab.drawn_days.entries import Entry, draw_entry
 from lab.drawn_days.kinds import INVALID_CONFIGURATIONS, TABLE, Section
--- a/tests/test_fleet_scale.py
+++ b/tests/test_fleet_scale.py
@@ -7,7 +7,7 @@
 import pytest
 from click.testing import CliRunner
 
-from cypressbeam.cli import main
+from cypressbeam.cli.program import main
 from lab import growth, plots, scale
 
 #: Commands that play simulated trouble turn the log off; what comes after them must not miss it.
--- a/tests/test_footprint.py
+++ b/tests/test_footprint.py
@@ -10,7 +10,7 @@
 from click.testing import CliRunner
 
 from cypressbeam import configuration
-from cypressbeam.cli import main
+from cypressbeam.cli.program import main
 from cypressbeam.roster import Roster
 from cypressbeam.routing import Table
 from lab import footprint, packed
--- a/tests/test_operate.py
+++ b/tests/test_operate.py
@@ -13,7 +13,7 @@
 
 from cypressbeam import configuration
 from cypressbeam.admin import backup, config_calls, errors, status
-from cypressbeam.cli import main
+from cypressbeam.cli.program import main
 from lab.up import demo_configuration
 from tests.loopback import run
 from tests.test_gateway import DEMO, read_back, rig
