--- a/lab/commands/days.py
+++ b/lab/commands/days.py
@@ -60,6 +60,11 @@
     sys.exit(3 if found is not None else 0)
 
 
+def names(text: str) -> list[str]:
+    """The names in an option that joins them by commas."""
+    return [name.strip() for name in text.split(",") if name.strip()]
+
+
 @click.command("write-days")
 @click.argument("folder", type=click.Path(file_okay=False, path_type=Path))
 @click.option("--seed", default=1, show_default=True, help="Another seed gives other days; the same one the same.")
@@ -67,14 +72,16 @@
 @click.option("--length", "length_s", default=32.0, show_default=True, type=click.FloatRange(5.0),
               help="Seconds of traffic in a day.")
 @click.option("--kinds-of", "listing", type=FILE, help="Only the kinds that this file lists, one `name: text` a line.")
+@click.option("--also", default="", help="These kinds too, joined by commas.")
 @click.option("--only", default="", help="Only these kinds, joined by commas.")
-def write_days(folder: Path, seed: int, days: int, length_s: float, listing: Path | None, only: str) -> None:
+def write_days(folder: Path, seed: int, days: int, length_s: float, listing: Path | None, also: str,
+               only: str) -> None:
     """Write test days of a deployment into FOLDER, as TOML files; plays nothing. Without --kinds-of, of all kinds."""
     from lab.drawn_days import writing
     from lab.drawn_days.listing import ListingError, allowed_kinds
 
     try:
-        kinds, left_out = allowed_kinds(listing, only.split(",") if only else ())
+        kinds, left_out = allowed_kinds(listing, names(only), names(also))
         files = writing.write_days(folder, kinds, seed, days, length_s)
     except (OSError, UnicodeDecodeError, ListingError) as err:
         click.echo(f"cypressbeam: {err}", err=True)
--- a/lab/drawn_days/listing.py
+++ b/lab/drawn_days/listing.py
@@ -23,13 +23,17 @@
     return frozenset(KIND_LINE.findall(text))
 
 
-def allowed_kinds(listing: Path | None, only: Sequence[str] = ()) -> tuple[tuple[str, ...], tuple[str, ...]]:
+def allowed_kinds(listing: Path | None, only: Sequence[str] = (),
+                  also: Sequence[str] = ()) -> tuple[tuple[str, ...], tuple[str, ...]]:
     """The kinds to draw from, and those of the listing that the table does not hold, both sorted.
 
-    Raises ListingError for a name in `only` that the table or the listing lacks, and where nothing is left.
+    `also` holds kinds that a site takes though its listing lacks them. Raises ListingError for a name in `also` that
+    the table lacks, for one in `only` that is not among the others, and where nothing is left.
     """
+    if unknown := set(also) - TABLE.keys():
+        raise ListingError(f"no kind {min(unknown)!r} in the table; there are {', '.join(sorted(TABLE))}")
     named = frozenset(TABLE) if listing is None else named_kinds(listing.read_text(encoding="utf-8"))
-    known = named & TABLE.keys()
+    known = (named & TABLE.keys()) | set(also)
     if missing := set(only) - known:
         raise ListingError(f"no kind {min(missing)!r} to draw; there are {', '.join(sorted(known)) or 'none'}")
     if not known:
--- a/tests/test_drawn_days.py
+++ b/tests/test_drawn_days.py
@@ -148,12 +148,20 @@
     assert [file.read_bytes() for file in files] == before
 
 
-@pytest.mark.parametrize(("listed", "only", "told"), [
-    ("nothing here", "", "no known kind"), (LISTING, "hup", "no kind 'hup' to draw"),
-    ("meteorite: not in the table", "", "no known kind")])
-def test_the_command_ends_with_one_line_where_there_is_nothing_to_draw(tmp_path: Path, listed: str, only: str,
-                                                                       told: str) -> None:
+def test_the_command_draws_from_further_kinds_where_they_are_named(tmp_path: Path) -> None:
+    listing = tmp_path / "kinds"
+    listing.write_text(LISTING)
+    run = write(tmp_path / "days", "--kinds-of", str(listing), "--also", "add_nodes, hup", "--only", "hup,garble")
+    assert run.exit_code == 0 and "20 days of 2 kinds" in run.output
+
+
+@pytest.mark.parametrize(("listed", "option", "told"), [
+    ("nothing here", ("--only", ""), "no known kind"), (LISTING, ("--only", "hup"), "no kind 'hup' to draw"),
+    (LISTING, ("--also", "meteorite"), "no kind 'meteorite' in the table"),
+    ("meteorite: not in the table", ("--only", ""), "no known kind")])
+def test_the_command_ends_with_one_line_where_there_is_nothing_to_draw(
+        tmp_path: Path, listed: str, option: tuple[str, str], told: str) -> None:
     listing = tmp_path / "kinds"
     listing.write_text(listed)
-    run = write(tmp_path / "days", "--kinds-of", str(listing), "--only", only)
+    run = write(tmp_path / "days", "--kinds-of", str(listing), *option)
     assert run.exit_code == 2 and told in run.output and not (tmp_path / "days").exists()
