--- a/lab/commands/histories.py
+++ b/lab/commands/histories.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Callable, Iterable
 from concurrent.futures import ProcessPoolExecutor
 
 import click
 
 from lab.commands.parallel import BATCH, first_failure, silence_simulated_nodes
 
+#: Plays histories with a rule left out, by its name, or none: the first that fails, and what it breaks.
+Search = Callable[[tuple[str, range]], tuple[int, str] | None]
+
 
 @click.command()
 @click.option("--seeds", default=10_000, show_default=True, help="How many histories.")
@@ -37,6 +41,18 @@
     sys.exit(0 if passed else 3)
 
 
+def report_search(search_with: Search, faults: Iterable[str], fault: str | None, seeds: range, jobs: int) -> None:
+    """Play histories with the rules as they are, with one rule left out, or with each in turn; then end the process
+    with code 3 if one fails, or with a rule left out if none does."""
+    passed = True
+    for name in list(faults) if fault == "all" else [fault or ""]:
+        found = first_failure(search_with, name, seeds, jobs)
+        told = f"seed {found[0]}: {found[1]}" if found is not None else f"{len(seeds)} histories, nothing found"
+        click.echo(f"{name or 'the rules as they are'}: {told}")
+        passed = passed and (found is not None) == bool(name)
+    sys.exit(0 if passed else 3)
+
+
 @click.command()
 @click.option("--seeds", default=2_000, show_default=True, help="How many histories.")
 @click.option("--first", default=0, show_default=True, help="The first seed.")
@@ -46,13 +62,27 @@
     """Histories of a core whose members come and go. Exit code 3 if one fails; with --fault, if none does."""
     from lab.turnover import FAULTS, search_with
 
-    passed = True
-    for name in list(FAULTS) if fault == "all" else [fault or ""]:
-        found = first_failure(search_with, name, range(first, first + seeds), jobs)
-        told = f"seed {found[0]}: {found[1]}" if found is not None else f"{seeds} histories, nothing found"
-        click.echo(f"{name or 'the rules as they are'}: {told}")
-        passed = passed and (found is not None) == bool(name)
-    sys.exit(0 if passed else 3)
+    report_search(search_with, FAULTS, fault, range(first, first + seeds), jobs)
+
+
+@click.command()
+@click.option("--seeds", default=300, show_default=True, help="How many histories.")
+@click.option("--first", default=0, show_default=True, help="The first seed.")
+@click.option("--jobs", default=4, show_default=True, help="Processes at once.")
+@click.option("--fault", help="Leave out a rule, by its name, or `all` one after another: each must be found.")
+@click.option("--times", is_flag=True, help="Print how long each kind of replacement takes instead, as a table.")
+def replacements(seeds: int, first: int, jobs: int, fault: str | None, times: bool) -> None:
+    """Core machines replaced by others, with other troubles meanwhile and one more loss afterwards; whole nodes.
+
+    Exit code 3 if a replaced machine counts for too long or a confirmed change is lost; with --fault, if none does.
+    """
+    from lab.replacements import FAULTS, search_with, table
+
+    silence_simulated_nodes()
+    if times:
+        click.echo(table(range(first, first + seeds)))
+    else:
+        report_search(search_with, FAULTS, fault, range(first, first + seeds), jobs)
 
 
 @click.command()
