--- a/lab/commands/histories.py
+++ b/lab/commands/histories.py
@@ -85,6 +85,26 @@
         report_search(search_with, FAULTS, fault, range(first, first + seeds), jobs)
 
 
+@click.command()
+@click.option("--seeds", default=200, show_default=True, help="How many histories.")
+@click.option("--first", default=0, show_default=True, help="The first seed.")
+@click.option("--jobs", default=4, show_default=True, help="Processes at once.")
+@click.option("--fault", help="Leave out a rule, by its name, or `all` one after another: each must be found.")
+@click.option("--times", is_flag=True, help="Print how long the recovery takes instead, as a table.")
+def closing(seeds: int, first: int, jobs: int, fault: str | None, times: bool) -> None:
+    """All power lost right after a confirmed change, with one disk; whole nodes start again.
+
+    Exit code 3 if a node holds the newest version too late, or tells an older one; with --fault, if none does.
+    """
+    from lab.closing import FAULTS, search_with, table
+
+    silence_simulated_nodes()
+    if times:
+        click.echo(table(range(first, first + seeds)))
+    else:
+        report_search(search_with, FAULTS, fault, range(first, first + seeds), jobs)
+
+
 @click.command()
 @click.option("--seeds", default=2000, show_default=True, help="How many storms.")
 @click.option("--first", default=0, show_default=True, help="The first seed.")
--- a/lab/replacements.py
+++ b/lab/replacements.py
@@ -19,7 +19,7 @@
 import random
 import statistics
 from collections.abc import Callable, Iterator
-from contextlib import AbstractContextManager, nullcontext
+from contextlib import AbstractContextManager
 from dataclasses import dataclass, field, replace
 from typing import Any
 from unittest import mock
@@ -31,6 +31,7 @@
 from cypressbeam.replacement import Replacement
 from cypressbeam.settings import REPLACE_SHARE, Settings
 from lab.repair import CORE_MBPS, ROUTES, THIN_MBPS, Core, begin
+from lab.seeds import first_broken
 from lab.simulation import Disk, Host
 
 #: Figures of the control deployments, in seconds.
@@ -334,12 +335,7 @@
 
 def search(seeds: range, name: str = "") -> tuple[int, str] | None:
     """The first seed that breaks something, and what; with a rule left out by its name."""
-    with FAULTS[name]() if name else nullcontext():
-        for seed in seeds:
-            told = broken(play(seed))
-            if told:
-                return seed, told
-    return None
+    return first_broken(lambda seed: broken(play(seed)), seeds, FAULTS, name)
 
 
 def search_with(job: tuple[str, range]) -> tuple[int, str] | None:
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -11,7 +11,7 @@
 from cypressbeam.members import ADD, REMOVE, REPLACE, Change
 from cypressbeam.replacement import SilenceClock
 from cypressbeam.settings import SettingsError, parse
-from lab import repair, replacements
+from lab import closing, repair, replacements
 from lab.replacements import FALSE_ALARM, PLANNED, UNPLANNED, Case
 from lab.turnover import Turnover
 from tests.test_members import asks, group_of, newest, ordered, world_at_rest
@@ -170,6 +170,12 @@
         cluster.close()
 
 
+def test_the_newest_version_outlives_the_power_and_one_disk_also_after_a_replacement() -> None:
+    for seed in range(12):
+        assert closing.broken(closing.play(seed)) == "", seed
+    assert closing.search(range(4), "wait-a-minute") is not None
+
+
 # -- settings --------------------------------------------------------------------------------------------------------
 
 
