Split the messages between nodes into a package, a module a subject

Now: codec and validation; tree, health, chain, consensus, membership, blobs and status messages; the registry from code to class. Each message says who sends it to whom, each field what it is. 'from cypressbeam import frames' and 'frames.X' go on as before.

--- /dev/null
+++ b/cypressbeam/frames/status.py
@@ -0,0 +1,64 @@
+"""Messages of the status survey, by which any node tells an operator the state of the core (survey.py)."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from cypressbeam.frames.codec import Frame
+
+#: Flags of a machine of the core: it holds a view that is active, its disk takes writes, it is the root.
+ACTIVE, DISK_WORKS, ROOT = 1, 2, 4
+
+
+@dataclass(frozen=True, slots=True)
+class Ask(Frame):
+    """A status query, from the node that an operator asked to each machine of the core."""
+
+    KIND = 25
+    FORM = "qs"
+    ident: int
+    """A random number by which replies find the query."""
+    origin: str
+    """The querying node's address."""
+
+
+@dataclass(frozen=True, slots=True)
+class State(Frame):
+    """The reply to `Ask`: what a machine of the core holds."""
+
+    KIND = 26
+    FORM = "qsqllqqqqc"
+    ident: int
+    name: str
+    """The machine's name as a member."""
+    epoch: int
+    """Of its view."""
+    chain: tuple[str, ...]
+    group: tuple[str, ...]
+    promised: int
+    """The epoch that it has promised."""
+    number: int
+    """Of its newest entry; 0: none."""
+    revision: int
+    """Of that entry."""
+    committed: int
+    """The number up to which it knows all entries to be committed."""
+    flags: int
+    """ACTIVE, DISK_WORKS, ROOT."""
+
+
+@dataclass(frozen=True, slots=True)
+class StandingBy(Frame):
+    """Sent beside `State`: the machines that stand by, and at the head also the members that are silent."""
+
+    KIND = 46
+    FORM = "qslls"
+    ident: int
+    name: str
+    """The sender's name."""
+    standing_by: tuple[str, ...]
+    """Names of machines that stand by, as the sender hears them."""
+    silent: tuple[str, ...]
+    """A member's address and the seconds since it was heard, each."""
+    waits: str
+    """What an automatic replacement waits for, in words; or nothing."""
