Split the histories of the core into a package of layers without a circle

Now lab/histories/: plans, invariants, events, network, disks, observer, simulated_core, troubles, callers, world, operators, faults, runner, each of which imports only those above. Tests: imports and names only.

--- a/cypressbeam/cli.py
+++ b/cypressbeam/cli.py
@@ -238,17 +238,17 @@
 
     Exit code 3 if one fails, with its steps shrunk; with --fault, if none does.
     """
-    from lab import faults, histories
+    from lab.histories import faults, runner
 
     names = list(faults.FAULTS) if fault == "all" else [fault or ""]
     passed = True
     for name in names:
-        found = hunt(histories.search_with, name, range(first, first + seeds), jobs)
+        found = hunt(runner.search_with, name, range(first, first + seeds), jobs)
         if found is not None and name:
             with faults.fault(name) as options:
-                click.echo(f"{name}: found. {histories.report(found[0], **options)}")
+                click.echo(f"{name}: found. {runner.report(found[0], **options)}")
         elif found is not None:
-            click.echo(histories.report(found[0]))
+            click.echo(runner.report(found[0]))
         else:
             click.echo(f"{name or 'the rules as they are'}: {seeds} histories, nothing found")
         passed = passed and (found is not None) == bool(name)
--- a/lab/faults.py
+++ b/lab/histories/faults.py
@@ -1,4 +1,4 @@
-"""Rules of the core that are left out on purpose, one at a time: some history must show each (histories.py).
+"""Rules of the core that are left out on purpose, one at a time: some history must show each (runner.py).
 
 To add one: a function that patches, and a line in FAULTS.
 """
@@ -9,20 +9,25 @@
 from contextlib import contextmanager
 from typing import Any
 
-from cypressbeam import agreement, frames
+from cypressbeam import agreement, frames, taken
 from cypressbeam.agreement import Keeper
-from cypressbeam.chain import Entry, Member, Tell, View
-from lab import disks, operators
-from lab.below import Below
+from cypressbeam.chain import Action, Entry, Member, Tell, View, answer
+from lab.histories.downstream import Below
 
 #: Puts something new in the place of an attribute.
 Patch = Callable[[Any, str, Any], None]
 
 
+def trust_every_disk(patch: Patch) -> None:
+    """Nobody compares what a member tells with what it told before, or with what it must have."""
+    patch(Keeper, "refuses", lambda self, name, told: False)
+    patch(Keeper, "shows_a_loss", lambda self, frame: False)
+
+
 def forget_promises(patch: Patch) -> None:
     """A machine that comes back accepts epochs below the one that it had promised, and nobody compares that with
     what it told."""
-    disks.trust_every_disk(patch)
+    trust_every_disk(patch)
     real = Keeper.load
 
     def load(self: Keeper, view: View | None, promised: int, last: Entry | None, taken: dict[int, bytes],
@@ -38,7 +43,7 @@
 
 def count_as_the_old_one(patch: Patch) -> None:
     """A machine that lost its disk promises under its old name, and nobody compares that with what it told."""
-    disks.trust_every_disk(patch)
+    trust_every_disk(patch)
     promise_with_an_empty_disk(patch)
 
 
@@ -106,10 +111,56 @@
     patch(Below, "fresh", lambda self, word: True)
 
 
+def refuse_what_is_forgotten(patch: Patch) -> None:
+    """What is not known as taken is taken for never taken, however long ago it may have been."""
+    patch(Member, "may_be_taken", lambda self, base, revision: False)
+
+
+def refuse_a_later_base(patch: Patch) -> None:
+    """An order is refused because its base is not in force yet; a late copy of it is taken then."""
+    patch(Member, "may_come", lambda self, base, revision: False)
+
+
+def keep_a_refused_write(patch: Patch) -> None:
+    """What a disk refused and kept all the same counts as taken after the next start."""
+    real = taken.note
+    patch(taken, "note", lambda kept, revision, base, mark: real(kept, revision, revision, mark))
+
+
+def join_by_number(patch: Patch) -> None:
+    """An order gets the answer of another one under the same number: two operators are confirmed."""
+    def join_same(self: Member) -> None:
+        entry = self.syncing or self.last
+        for order in list(self.waiting):
+            if entry is not None and self.check(order.body) == entry.revision:
+                self.waiting.remove(order)
+                self.asked.append((order.ident, order.origin))
+    patch(Member, "join_same", join_same)
+
+
+def know_by_number(patch: Patch) -> None:
+    """What was taken is known by its number, and not by its digest."""
+    real = Member.decide
+
+    def decide(self: Member, order: frames.Order, now_s: float) -> list[Action]:
+        if self.check(order.body) in self.taken:
+            return [answer(order, 200, "a number taken before")]
+        return real(self, order, now_s)
+    patch(Member, "decide", decide)
+
+
+def count_the_newest_as_committed(patch: Patch) -> None:
+    """A proposer holds the digest of its newest entry for one of all: that may be lost with the view."""
+    def taken_up_to(self: Keeper) -> int:
+        entry = self.newest()
+        return entry.revision if entry is not None else 0
+    patch(Keeper, "taken_up_to", taken_up_to)
+
+
 #: By name: what patches the rules, and the options of the world that it is played in.
 FAULTS: dict[str, tuple[Callable[[Patch], None] | None, dict[str, Any]]] = {
-    "skip-a-sync": (disks.trust_every_disk, {"lying": True}),
-    "keep-an-older-copy": (disks.trust_every_disk, {}),
+    "skip-a-sync": (trust_every_disk, {"lying": True}),
+    "keep-an-older-copy": (trust_every_disk, {}),
     "count-a-wiped-machine": (count_as_the_old_one, {"same_name": True}),
     "count-a-newcomer": (promise_with_an_empty_disk, {}),
     "accept-a-lower-epoch": (forget_promises, {}),
@@ -122,7 +173,12 @@
     "lead-alone": (lead_alone, {}),
     "answer-by-old-words": (answer_by_old_words, {}),
     "believe-any-epoch": (believe_any_epoch, {}),
-    **operators.FAULTS}
+    "refuse-what-is-forgotten": (refuse_what_is_forgotten, {}),
+    "refuse-a-later-base": (refuse_a_later_base, {}),
+    "keep-a-refused-write": (keep_a_refused_write, {}),
+    "join-by-number": (join_by_number, {}),
+    "know-by-number": (know_by_number, {}),
+    "count-the-newest-as-committed": (count_the_newest_as_committed, {})}
 
 
 @contextmanager
--- a/lab/operators.py
+++ b/lab/histories/operators.py
@@ -10,18 +10,16 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from cypressbeam import frames, taken
-from cypressbeam.agreement import Keeper
-from cypressbeam.chain import Action, Member, answer
-from lab.plans import Step, shape_of
-
-if TYPE_CHECKING:
-    from lab.histories import Call, World
+from lab.histories.invariants import Call, Violation, demand, revision
+from lab.histories.network import CLIENT
+from lab.histories.plans import Step, shape_of
+from lab.histories.world import World
 
 MOST_UNDER_WAY = 8
 #: Digests that are kept in these histories: so few that repeats come from beyond them.
@@ -36,8 +34,6 @@
 CLEAR = (200, 400, 412)
 #: Answers that get lost, of all.
 LOST, LOST_BRISK = 0.2, 0.03
-#: Puts something new in the place of an attribute, as in faults.py.
-Patch = Callable[[Any, str, Any], None]
 #: Frames that are lost while a head is heard by nobody.
 LOSS_WHILE_MUTE = 0.25
 #: Copies are under way for so long after the last order; then all must be at rest.
@@ -95,7 +91,7 @@
         """The head hears the others, and they don't hear it; and many frames are lost, among them the one that would
         tell it that it leads no more. Callers reach it still."""
         self.world.begin(Step(self.world.now_s, "one-way", self.world.leader(), self.chance.uniform(2.0, 4.0)))
-        self.world.at(3.0, "crowd", "lose", min(self.world.loss, 0.02))
+        self.world.at(3.0, "crowd", "lose", min(self.world.network.loss, 0.02))
         self.lose(LOSS_WHILE_MUTE)
 
     def spoil(self) -> None:
@@ -108,9 +104,14 @@
         self.world.begin(Step(self.world.now_s, "kill", ip, self.chance.uniform(0.05, 0.3)))
 
     def lose(self, share: float) -> None:
-        self.world.loss = share
+        self.world.network.loss = share
+
+    def sent(self, ident: int) -> bool:
+        """Whether a request with this number is one of these operators'."""
+        return ident in self.copies
 
     def on(self, what: str, *given: Any) -> None:
+        """Handle an event of the method's name."""
         getattr(self, what)(*given)
 
     def go_on(self) -> None:
@@ -126,7 +127,6 @@
 
     def order(self) -> None:
         """As a rule on top of what is known, now and then on top of what is under way; numbers are often the same."""
-        from lab.histories import Call, revision
         base = self.known if self.chance.random() > 0.15 else self.chance.choice(self.seen[-10:])
         open_now = [order for order in self.orders[-MOST_UNDER_WAY:] if order.open(self.world.now_s)]
         if open_now and self.chance.random() < 0.2:
@@ -134,7 +134,7 @@
         ident = next(self.world.numbers) + 1
         number = (base // 10 + 1) * 10 + self.chance.choice((0, 0, 0, 2, 3))
         call = Call(ident, f"crowd {ident}", "replace", self.world.now_s, base=base, body=b"%d:c%d" % (number, ident))
-        self.world.calls[ident] = call
+        self.world.callers.calls[ident] = call
         order = Order(call, self.world.now_s + self.chance.uniform(*PATIENCE_S))
         self.orders.append(order)
         for _ in range(self.chance.choice((1, 1, 2, 3))):
@@ -150,7 +150,6 @@
         self.world.at(NEXT_S, "crowd", "turn", order)
 
     def press(self, ident: int, times: int) -> None:
-        from lab.histories import CLIENT
         order, keepers = self.copies[ident], self.world.keepers
         resting = not self.finishing and self.world.now_s > self.until_s + REST_S
         if keepers and not resting:
@@ -170,7 +169,6 @@
 
     def answer(self, frame: frames.Outcome) -> None:
         """The caller hears it, or not; what was said counts in both cases."""
-        from lab.histories import revision
         order = self.copies[frame.ident]
         order.statuses.add(frame.status)
         call = order.call
@@ -191,7 +189,6 @@
 
     def finish(self) -> None:
         """At rest: the newest change is sent again, and some of the older ones. Raises Violation."""
-        from lab.histories import Violation, demand
         self.check()
         self.finishing = True
         newest = max(self.world.chain().items(), default=(0, None))[1]
@@ -209,7 +206,6 @@
         self.check()
 
     def check(self) -> None:
-        from lab.histories import demand, revision
         in_force = {entry.body for entry in self.world.chain().values()}
         numbers: dict[int, bytes] = {}
         for order in self.orders:
@@ -217,7 +213,7 @@
                 refused = order.statuses - {200, 503}
                 demand(not refused, f"{order.body!r} came into force, and was answered {refused} as well")
             elif 200 in order.statuses:
-                demand(False, f"{order.body!r} was acknowledged and never committed")
+                raise Violation(f"{order.body!r} was acknowledged and never committed")
             if 200 in order.statuses:
                 same = numbers.setdefault(revision(order.body), order.body) == order.body
                 demand(same, f"two changes were acknowledged as {revision(order.body)}")
@@ -231,61 +227,3 @@
         yield
     finally:
         taken.KEPT = before
-
-
-# -- seeded faults: rules that are left out, each of which some history must show ---------------------------------
-
-
-def refuse_what_is_forgotten(patch: Patch) -> None:
-    """What is not known as taken is taken for never taken, however long ago it may have been."""
-    patch(Member, "may_be_taken", lambda self, base, revision: False)
-
-
-def refuse_a_later_base(patch: Patch) -> None:
-    """An order is refused because its base is not in force yet; a late copy of it is taken then."""
-    patch(Member, "may_come", lambda self, base, revision: False)
-
-
-def keep_a_refused_write(patch: Patch) -> None:
-    """What a disk refused and kept all the same counts as taken after the next start."""
-    real = taken.note
-    patch(taken, "note", lambda kept, revision, base, mark: real(kept, revision, revision, mark))
-
-
-def join_by_number(patch: Patch) -> None:
-    """An order gets the answer of another one under the same number: two operators are confirmed."""
-    def join_same(self: Member) -> None:
-        entry = self.syncing or self.last
-        for order in list(self.waiting):
-            if entry is not None and self.check(order.body) == entry.revision:
-                self.waiting.remove(order)
-                self.asked.append((order.ident, order.origin))
-    patch(Member, "join_same", join_same)
-
-
-def know_by_number(patch: Patch) -> None:
-    """What was taken is known by its number, and not by its digest."""
-    real = Member.decide
-
-    def decide(self: Member, order: frames.Order, now_s: float) -> list[Action]:
-        if self.check(order.body) in self.taken:
-            return [answer(order, 200, "a number taken before")]
-        return real(self, order, now_s)
-    patch(Member, "decide", decide)
-
-
-def count_the_newest_as_committed(patch: Patch) -> None:
-    """A proposer holds the digest of its newest entry for one of all: that may be lost with the view."""
-    def taken_up_to(self: Keeper) -> int:
-        entry = self.newest()
-        return entry.revision if entry is not None else 0
-    patch(Keeper, "taken_up_to", taken_up_to)
-
-
-FAULTS: dict[str, tuple[Callable[[Patch], None] | None, dict[str, Any]]] = {
-    "refuse-what-is-forgotten": (refuse_what_is_forgotten, {}),
-    "refuse-a-later-base": (refuse_a_later_base, {}),
-    "keep-a-refused-write": (keep_a_refused_write, {}),
-    "join-by-number": (join_by_number, {}),
-    "know-by-number": (know_by_number, {}),
-    "count-the-newest-as-committed": (count_the_newest_as_committed, {})}
--- a/lab/plans.py
+++ b/lab/histories/plans.py
@@ -1,6 +1,6 @@
 """What happens in a history of the core, from its seed: its shape, its troubles, and the operators' calls.
 
-Other modules may add kinds of trouble: a class of its own with `begin` and `end`, put into `histories.KINDS` by name,
+Other modules may add kinds of trouble: a class of its own with `begin` and `end`, put into `troubles.KINDS` by name,
 and steps of that kind in a plan.
 """
 
@@ -9,8 +9,6 @@
 import random
 from dataclasses import dataclass, replace
 
-from lab import disks
-
 MACHINES = ("a", "b", "c", "d", "e")
 IPS = MACHINES[:3]
 #: Nodes below the core.
@@ -24,6 +22,11 @@
 #: Seconds for which operators change the configuration one after another.
 HUNDREDS_S, THOUSANDS_S = 10.0, 90.0
 
+OLDER = "older"
+#: All power is lost, and one disk comes back as an older copy.
+POWER_OLDER = "power-older"
+#: What takes the place of a trouble where a disk comes back as an older copy (disks.py).
+INSTEAD = {"wipe": OLDER, "power": POWER_OLDER}
 TROUBLES = ("kill", "kill", "wipe", "power", "cut", "one-way", "lead", "freeze", "refuse", "stall")
 #: With five machines, and in long histories, these too.
 MORE_TROUBLES = (*TROUBLES, "freeze", "freeze-cut", "deaf", "tail")
@@ -84,10 +87,18 @@
     if shape.hurry_s:
         plan.append(Step(chance.uniform(0.0, 1.0), "hurry", chance.choice(OPERATORS), shape.hurry_s))
     plan.sort(key=lambda step: step.at_s)
-    return plan if shape.wild or shape.aimed else disks.with_older_copies(seed, plan)
+    return plan if shape.wild or shape.aimed else with_older_copies(seed, plan)
+
+
+def with_older_copies(seed: int, plan: list[Step]) -> list[Step]:
+    """Half of the lost disks are older copies instead, and half of the losses of all power have one besides."""
+    chance = random.Random(f"older {seed}")
+    return [replace(step, kind=INSTEAD[step.kind]) if step.kind in INSTEAD and chance.random() < 0.5 else step
+            for step in plan]
 
 
 def troubles(shape: Shape, chance: random.Random, lasts_s: float) -> list[Step]:
+    """The troubles of a plan of that shape."""
     kinds = MORE_TROUBLES if shape.long or shape.machines > 3 else TROUBLES
     names, losses = MACHINES[:shape.machines], shape.machines // 2
     plan: list[Step] = []
--- a/lab/turnover.py
+++ b/lab/turnover.py
@@ -1,7 +1,7 @@
-"""Histories of a core whose members come and go: the rules of histories.py, with five machines, of which three are the
+"""Histories of a core whose members come and go: the rules of histories/, with five machines, of which three are the
 group at first, and operators who add, remove and replace members while machines are in trouble.
 
-Beside all that histories.py checks: a view that becomes active begins with all that was committed in those below it,
+Beside all that those check: a view that becomes active begins with all that was committed in those below it,
 each member of its chain has it on disk, and the groups of two views that were active one after the other have
 majorities that meet. So two groups never both decide, and nothing is lost over a change.
 """
@@ -19,10 +19,13 @@
 from cypressbeam.agreement import COUNTED, Keeper
 from cypressbeam.chain import View, ip_of
 from cypressbeam.members import ADD, REMOVE, REPLACE, Members
-from lab import faults, histories, plans
-from lab.faults import Patch
-from lab.histories import AGAIN_S, CLIENT, Violation, World, demand
-from lab.plans import IPS, MACHINES, Shape, Step
+from lab.histories import faults, plans, runner
+from lab.histories.callers import AGAIN_S
+from lab.histories.faults import Patch
+from lab.histories.invariants import Violation, demand
+from lab.histories.network import CLIENT
+from lab.histories.plans import IPS, MACHINES, Shape, Step
+from lab.histories.world import World
 
 LOSSES = 1
 #: Seconds for which an operator goes on asking for a change; a member that is silent for so long is gone for good.
@@ -132,7 +135,8 @@
 
     def became_active(self, view: View) -> None:
         """Some machine says so. One that stood still may say it long after later views."""
-        below = max((number for number, entry in self.committed.items() if entry.epoch < view.epoch), default=0)
+        committed = self.observer.committed.items()
+        below = max((number for number, entry in committed if entry.epoch < view.epoch), default=0)
         demand(view.began >= below, f"epoch {view.epoch} begins with {view.began}, {below} was committed below it")
         for name in view.chain:
             disk = self.disks[ip_of(name)]
@@ -149,7 +153,7 @@
 
 
 def make_plan(seed: int) -> list[Step]:
-    """The troubles and calls of histories.py, on all machines, and changes of the group all along."""
+    """The troubles and calls of the histories, on all machines, and changes of the group all along."""
     shape = Shape(wild=seed % 3 == 0, large=seed % 4 == 1, long=seed % 7 == 3)
     chance = random.Random(f"turnover {seed}")
     lasts_s = plans.LONG_LASTS_S if shape.long else plans.LASTS_S
@@ -174,7 +178,7 @@
 def play(seed: int, plan: list[Step], **options: Any) -> Turnover:
     """One history. Raises Violation with what does not hold."""
     world = Turnover(seed, **{"large": seed % 4 == 1} | options)
-    histories.play_in(world, plan)
+    runner.play_in(world, plan)
     demand(len(world.group()) >= 2 * LOSSES + 1, f"the group is {world.group()}")
     return world
 
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -9,17 +9,19 @@
 from cypressbeam import agreement, frames
 from cypressbeam.agreement import Keeper
 from cypressbeam.chain import Tell, View, ip_of
-from lab import faults, histories
-from lab.histories import Call, World
-from lab.plans import IPS, Step, make_plan
+from lab.histories import callers, faults, runner
+from lab.histories.invariants import Call, Violation, linearizable
+from lab.histories.network import CLIENT
+from lab.histories.plans import IPS, Step, make_plan
+from lab.histories.world import World
 
 
 def ask(world: World, kind: str) -> Call:
     """One call of an operator's, to its end."""
-    world.call("x", kind)
-    ident = world.open["x"]
-    world.run(world.now_s + histories.PATIENCE_S + 1.0)
-    return world.calls[ident]
+    world.callers.call("x", kind)
+    ident = world.callers.open["x"]
+    world.run(world.now_s + callers.PATIENCE_S + 1.0)
+    return world.callers.calls[ident]
 
 
 def replace(world: World) -> bytes:
@@ -43,7 +45,7 @@
 def test_histories_with_all_kinds_of_trouble_keep_every_invariant() -> None:
     """Each third seed lets troubles overlap. Many thousands more are played by `cypressbeam lab core`."""
     for seed in range(90):
-        told = histories.fails(seed, make_plan(seed))
+        told = runner.fails(seed, make_plan(seed))
         assert told is None, f"seed {seed}: {told}"
 
 
@@ -60,7 +62,7 @@
     (told,) = keeper.promise_saved(saved.epoch, saved.proposer, world.now_s)
     assert isinstance(told, Tell) and isinstance(told.frame, frames.Promise)
     assert (told.frame.body, told.frame.number) == (body, 1) and told.frame.taken
-    assert histories.fails(468, make_plan(468)) is None
+    assert runner.fails(468, make_plan(468)) is None
 
 
 def test_a_machine_with_an_empty_disk_promises_nothing_before_a_view_has_taken_it_in() -> None:
@@ -79,7 +81,7 @@
     assert keeper.view is not None and keeper.name in keeper.view.group  # the others have taken it in
     (saved,) = keeper.on_prepare(frames.Prepare(keeper.promised + 256, "b/0"), world.now_s)
     assert isinstance(saved, agreement.SavePromise)
-    assert histories.fails(3165, make_plan(3165)) is None
+    assert runner.fails(3165, make_plan(3165)) is None
 
 
 def test_a_member_that_waits_for_the_others_hears_them_at_once() -> None:
@@ -116,21 +118,22 @@
 
 
 def test_a_seed_plays_the_same_history_again() -> None:
-    first, again = (histories.play(7, make_plan(7)) for _ in range(2))
+    first, again = (runner.play(7, make_plan(7)) for _ in range(2))
     assert first.trace == again.trace
-    assert [call.ended_s for call in first.calls.values()] == [call.ended_s for call in again.calls.values()]
+    assert [call.ended_s for call in first.callers.calls.values()] == [
+        call.ended_s for call in again.callers.calls.values()]
 
 
 @pytest.mark.parametrize("name", ["skip-a-sync", "acknowledge-at-the-head", "begin-with-the-oldest", "decide-alone",
                                   "acknowledge-while-cut-off", "count-a-wiped-machine"])
 def test_a_rule_that_is_left_out_shows_in_some_history(name: str) -> None:
     with faults.fault(name) as options:
-        found = histories.search(range(80), **options)
+        found = runner.search(range(80), **options)
         assert found is not None
-        plan = histories.shrink(found[0], make_plan(found[0]), **options)
+        plan = runner.shrink(found[0], make_plan(found[0]), **options)
         assert len(plan) < len(make_plan(found[0]))
-        assert histories.fails(found[0], plan, **options)
-    assert histories.fails(found[0], plan) is None  # with the rule in place the same steps do no harm
+        assert runner.fails(found[0], plan, **options)
+    assert runner.fails(found[0], plan) is None  # with the rule in place the same steps do no harm
 
 
 def test_what_operators_saw_must_fit_one_order() -> None:
@@ -138,32 +141,32 @@
     world = quiet_world(1)
     replace(world)
     replace(world)
-    chain, calls = world.chain(), list(world.calls.values())
-    histories.linearizable(calls, chain)
+    chain, calls = world.chain(), list(world.callers.calls.values())
+    linearizable(calls, chain)
     first = next(call for call in calls if call.status == 200)
     stale = Call(99, "x", "read", world.now_s, ended_s=world.now_s + 1.0, status=200, seen=first.seen)
-    with pytest.raises(histories.Violation, match="in force"):
-        histories.linearizable([*calls, Call(98, "y", "read", 0.0, ended_s=world.now_s - 0.5, status=200,
+    with pytest.raises(Violation, match="in force"):
+        linearizable([*calls, Call(98, "y", "read", 0.0, ended_s=world.now_s - 0.5, status=200,
                                              seen=max(entry.revision for entry in chain.values())), stale], chain)
-    with pytest.raises(histories.Violation, match="never committed"):
-        histories.linearizable([*calls, Call(97, "y", "replace", 0.0, body=b"990:z", status=200)], chain)
+    with pytest.raises(Violation, match="never committed"):
+        linearizable([*calls, Call(97, "y", "replace", 0.0, body=b"990:z", status=200)], chain)
 
 
 def test_one_that_reaches_no_majority_neither_leads_nor_answers() -> None:
     world = quiet_world(1)
     replace(world)
     tail = root(world)
-    world.cut = {pair for other in IPS if other != tail for pair in ((tail, other), (other, tail))}
+    world.network.cut = {pair for other in IPS if other != tail for pair in ((tail, other), (other, tail))}
     world.run(world.now_s + 2.5)
     assert not world.keepers[tail].root
     assert sum(keeper.root for keeper in world.keepers.values()) == 1  # the others have mended the chain
     replace(world)
     before = len(world.trace)
-    world.calls[10**6] = Call(10**6, "z", "read", world.now_s)
-    world.open["z"] = 10**6
-    world.send(histories.CLIENT, tail, frames.Read(10**6, histories.CLIENT))
+    world.callers.calls[10**6] = Call(10**6, "z", "read", world.now_s)
+    world.callers.open["z"] = 10**6
+    world.send(CLIENT, tail, frames.Read(10**6, CLIENT))
     world.run(world.now_s + 1.0)
-    assert world.calls[10**6].status == 0 and len(world.trace) == before
+    assert world.callers.calls[10**6].status == 0 and len(world.trace) == before
 
 
 def test_a_wiped_machine_is_another_one_until_a_view_has_taken_it_in() -> None:
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -9,11 +9,12 @@
 from cypressbeam import agreement, frames
 from cypressbeam.agreement import DEAD_S, ROOT_ALONE_S, STALL_S, Keeper, Lead, SavePromise
 from cypressbeam.chain import Tell, View
-from lab import faults, histories
-from lab.below import Below, Pasts, Word
-from lab.histories import CLIENT, World
+from lab.histories import faults, invariants, runner, simulated_core
+from lab.histories.downstream import Below, Pasts, Word
+from lab.histories.network import CLIENT
+from lab.histories.plans import Step, make_plan, shape_of
+from lab.histories.world import World
 from lab.membership import Cluster
-from lab.plans import Step, make_plan, shape_of
 
 
 def quiet_world(machines: int = 3) -> World:
@@ -114,9 +115,9 @@
     world = quiet_world()
     cut_s = world.now_s
     world.begin(Step(cut_s, "tail", "", 5.0))
-    world.run(cut_s + DEAD_S - agreement.PULSE_S - 2 * histories.TICK_S)
+    world.run(cut_s + DEAD_S - agreement.PULSE_S - 2 * simulated_core.TICK_S)
     assert world.keepers["c"].root and world.keepers["a"].present("c/0", world.now_s)  # no alarm before its time
-    world.run(cut_s + DEAD_S + ROOT_ALONE_S + histories.TICK_S)
+    world.run(cut_s + DEAD_S + ROOT_ALONE_S + simulated_core.TICK_S)
     assert not world.keepers["c"].root and not world.keepers["a"].present("c/0", world.now_s)
 
 
@@ -150,7 +151,7 @@
 
 def test_a_machine_without_a_view_answers_pulses_so_that_it_is_taken_in_before_it_finds_the_root() -> None:
     """One that had lost its disk, while it held the root, told of itself only once it had found another root."""
-    keeper = Keeper("c/7", 2, histories.revision, histories.digest, lambda: 0.5)
+    keeper = Keeper("c/7", 2, invariants.revision, invariants.digest, lambda: 0.5)
     assert keeper.load(None, 0, None, {}, 0.0) == []
     (told,) = keeper.on_pulse(pulse("a/0", 0, 5), 0.1)
     assert isinstance(told, Tell) and told.ip == "a" and isinstance(told.frame, frames.Pulse)
@@ -161,7 +162,7 @@
     """At the founding the others may be slow to put the view on disk: they answer, and can promise nothing yet."""
     view = View(256, ("a/0", "b/0", "c/0"), ("a/0", "b/0", "c/0"))
     for empty in (True, False):
-        keeper = Keeper("a/0", 2, histories.revision, histories.digest, lambda: 0.5)
+        keeper = Keeper("a/0", 2, invariants.revision, invariants.digest, lambda: 0.5)
         keeper.load(view, 256, None, {}, 0.0)
         told: list[agreement.Action] = []
         for tick in range(1, 30):
@@ -173,7 +174,7 @@
 
 
 def test_echoes_of_a_former_life_prove_nothing() -> None:
-    lives = [Keeper("a/0", 2, histories.revision, histories.digest, lambda share=share: share)  # type: ignore[misc]
+    lives = [Keeper("a/0", 2, invariants.revision, invariants.digest, lambda share=share: share)  # type: ignore[misc]
              for share in (0.25, 0.75)]
     number = lives[0].own_pulse(1.0).number
     lives[1].own_pulse(1.0)
@@ -249,7 +250,7 @@
     for ip in ("c", "e"):
         world.begin(Step(world.now_s, "kill", ip, 9.0))
     world.run(world.now_s + 3.0)
-    assert world.finish("x", "replace") == 200
+    assert world.callers.finish("x", "replace") == 200
     assert {keeper.view.chain for keeper in world.keepers.values() if keeper.view} == {("a/0", "b/0", "d/0")}
 
 
@@ -261,16 +262,16 @@
     world.start("a")
     world.run(world.now_s + 4.0)
     assert world.may_lose_disk("c")
-    assert histories.fails(9093, make_plan(9093)) is None
+    assert runner.fails(9093, make_plan(9093)) is None
 
 
 def test_thousands_of_changes_one_after_another() -> None:
     assert shape_of(50).hurry_s
-    assert len(histories.play(50, make_plan(50)).committed) >= 2000
+    assert len(runner.play(50, make_plan(50)).observer.committed) >= 2000
 
 
 @pytest.mark.parametrize("name", ["count-old-pulses", "stay-the-root", "lead-alone", "believe-any-epoch"])
 def test_a_rule_of_contact_that_is_left_out_shows_in_some_history(name: str) -> None:
     with faults.fault(name) as options:
-        found = histories.search(range(60), **options)
-    assert found is not None and histories.fails(found[0], make_plan(found[0])) is None
+        found = runner.search(range(60), **options)
+    assert found is not None and runner.fails(found[0], make_plan(found[0])) is None
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -8,9 +8,10 @@
 
 from cypressbeam import frames, taken
 from cypressbeam.marks import Marks, pack_marks, unpack_marks
-from lab import faults, histories
-from lab.histories import Disk, World
-from lab.plans import IPS, Step, make_plan
+from lab.histories import faults, runner
+from lab.histories.disks import Disk
+from lab.histories.plans import IPS, Step, make_plan
+from lab.histories.world import World
 
 
 def settled(seed: int, changes: int = 1) -> World:
@@ -25,11 +26,11 @@
 
 def change(world: World) -> None:
     """One replacement, to its answer."""
-    world.call("x", "replace")
-    ident = world.open["x"]
-    while world.open.get("x") == ident:
+    world.callers.call("x", "replace")
+    ident = world.callers.open["x"]
+    while world.callers.open.get("x") == ident:
         world.step()
-    assert world.calls[ident].status == 200
+    assert world.callers.calls[ident].status == 200
 
 
 def copy(disk: Disk) -> Disk:
@@ -53,15 +54,15 @@
     older = copy(world.disks[ip])
     for _ in range(behind):
         change(world)
-    newest = max(world.committed)
+    newest = max(world.observer.committed)
     comes_back(world, ip, older, others_too)
-    before = len(world.calls)
+    before = len(world.callers.calls)
     for _ in range(4):
-        world.open.clear()
-        world.call("y", "read")
+        world.callers.open.clear()
+        world.callers.call("y", "read")
         world.run(world.now_s + 1.0)
-    read = [call.seen for call in list(world.calls.values())[before:] if call.status]
-    assert read and set(read) == {world.committed[newest].revision}
+    read = [call.seen for call in list(world.callers.calls.values())[before:] if call.status]
+    assert read and set(read) == {world.observer.committed[newest].revision}
     assert {keeper.own_marks().number for keeper in world.keepers.values()} == {newest}
     if behind > 1:
         assert world.disks[ip].name != older.name
@@ -141,7 +142,7 @@
             world.disks["c"] = older
         for _ in range(changes):
             change(world)
-        newest, world.frames, began_s = max(world.committed), 0, world.now_s
+        newest, world.frames, began_s = max(world.observer.committed), 0, world.now_s
         world.named.clear()
         world.start("c")
         world.begin(Step(0.0, "read", "y"))
@@ -152,13 +153,13 @@
         weights.append(world.frames + sum(map(len, world.named)))
         world.run(world.now_s + 1.0)
         assert (world.disks["c"].name == "c/0") is (how == "its disk")
-        (read,) = (call for call in world.calls.values() if call.operator == "y")
-        assert read.seen == world.committed[newest].revision
+        (read,) = (call for call in world.callers.calls.values() if call.operator == "y")
+        assert read.seen == world.observer.committed[newest].revision
     assert weights[2] < 4000 + 1.1 * 2000 * taken.RECORD.size < 2 * taken.KEPT * taken.RECORD.size
 
 
 def test_rules_that_trust_every_disk_show_in_some_history() -> None:
     with faults.fault("keep-an-older-copy") as options:
-        found = histories.search(range(108, 116), **options)
+        found = runner.search(range(108, 116), **options)
     assert found is not None
-    assert histories.fails(found[0], make_plan(found[0])) is None
+    assert runner.fails(found[0], make_plan(found[0])) is None
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -13,8 +13,9 @@
 from cypressbeam.agreement import DEAD_S
 from cypressbeam.chain import Tell, View, ip_of
 from cypressbeam.members import ADD, REMOVE, REPLACE, Change, Known, judge
-from lab import histories, repair, turnover
-from lab.plans import Step
+from lab import repair, turnover
+from lab.histories import callers
+from lab.histories.plans import Step
 from lab.simulation import Disk
 from lab.system import Machine
 from lab.turnover import Turnover
@@ -69,11 +70,11 @@
 
 def ordered(world: Turnover) -> bytes:
     """A configuration that must be taken; its body."""
-    world.call("x", "replace")
-    ident = world.open["x"]
-    world.run(world.now_s + histories.PATIENCE_S + 1.0)
-    assert world.calls[ident].status == 200
-    return world.calls[ident].body
+    world.callers.call("x", "replace")
+    ident = world.callers.open["x"]
+    world.run(world.now_s + callers.PATIENCE_S + 1.0)
+    assert world.callers.calls[ident].status == 200
+    return world.callers.calls[ident].body
 
 
 def asks(world: Turnover, kind: int, old: str, new: str, base: str, for_s: float = 6.0) -> int:
@@ -228,11 +229,11 @@
     world.run(world.now_s + 2.0)
     assert asks(world, ADD, "", "d", "abc") == 0 and group_of(world) == "abc"
     for kind in ("replace", "read"):
-        world.open.pop("x", None)
-        world.call("x", kind)
-        ident = world.open["x"]
-        world.run(world.now_s + histories.PATIENCE_S)
-        assert world.calls[ident].status == 0
+        world.callers.open.pop("x", None)
+        world.callers.call("x", kind)
+        ident = world.callers.open["x"]
+        world.run(world.now_s + callers.PATIENCE_S)
+        assert world.callers.calls[ident].status == 0
     assert not any(keeper.root for keeper in world.keepers.values())
 
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -15,8 +15,9 @@
 from cypressbeam.configuration import digest
 from cypressbeam.peers import Link
 from cypressbeam.store import FILE, Store
-from lab import faults, histories, operators
-from lab.plans import make_plan, shape_of
+from lab.histories import faults, invariants, operators, runner
+from lab.histories.plans import make_plan, shape_of
+from lab.histories.world import World
 from lab.up import demo_configuration, push
 from tests.loopback import run
 from tests.test_gateway import read_back, rig
@@ -102,7 +103,7 @@
 
 def test_a_new_view_brings_to_each_the_digests_that_it_lacks() -> None:
     """Level members are sent one or two; one with an empty disk is sent all that are kept."""
-    world = histories.World(1, loss=0.0)
+    world = World(1, loss=0.0)
     world.run(1.0)
     for ip, keeper in world.keepers.items():
         assert keeper.member is not None
@@ -151,14 +152,14 @@
 
 
 def test_a_machine_takes_up_no_view_whose_digests_it_can_not_complete() -> None:
-    world = histories.World(1, loss=0.0)
+    world = World(1, loss=0.0)
     world.run(1.0)
     keeper = world.keepers["c"]
     group = tuple(disk.name for disk in world.disks.values())
     frame = frames.Accept(keeper.promised + 256, group, group, 5, 50, 40, body(5),
-                          taken.pack({50: histories.digest(body(5))}), 40)
+                          taken.pack({50: invariants.digest(body(5))}), 40)
     assert keeper.on_accept(frame, world.now_s) == []
-    keeper.taken[40] = histories.digest(body(4))
+    keeper.taken[40] = invariants.digest(body(4))
     (saved,) = keeper.on_accept(frame, world.now_s)
     assert isinstance(saved, agreement.SaveView) and list(saved.taken) == [40, 50]
 
@@ -220,7 +221,7 @@
 def test_histories_with_crowds_of_operators_keep_the_rule() -> None:
     changes = 0
     for seed in CROWDED[:20]:
-        world = histories.play(seed, make_plan(seed))
+        world = runner.play(seed, make_plan(seed))
         assert world.crowd is not None
         changes = max(changes, len(world.chain()))
     assert changes > 4 * operators.KEPT
@@ -230,9 +231,9 @@
                                   "know-by-number", "count-the-newest-as-committed", "keep-a-refused-write"])
 def test_a_rule_on_orders_that_is_left_out_shows(name: str) -> None:
     with faults.fault(name) as options:
-        found = histories.search(CROWDED, **options)
+        found = runner.search(CROWDED, **options)
     assert found is not None
-    assert histories.fails(found[0], make_plan(found[0])) is None  # with the rule in place
+    assert runner.fails(found[0], make_plan(found[0])) is None  # with the rule in place
 
 
 # -- whole nodes --------------------------------------------------------------------------------------------------
