Name vector clocks and downstream nodes of the histories as the field does

Pasts and Past are VectorClocks and VectorTime, in a module of their own; Below is DownstreamNode, Word Announcement.

--- a/lab/histories/faults.py
+++ b/lab/histories/faults.py
@@ -12,7 +12,7 @@
 from cypressbeam import agreement, frames, taken
 from cypressbeam.agreement import Keeper
 from cypressbeam.chain import Action, Entry, Member, Tell, View, answer
-from lab.histories.downstream import Below
+from lab.histories.downstream import DownstreamNode
 
 #: Puts something new in the place of an attribute.
 Patch = Callable[[Any, str, Any], None]
@@ -97,7 +97,7 @@
 
 
 def answer_by_old_words(patch: Patch) -> None:
-    """A majority's word counts for a read, or a refusal, however long ago it was asked for."""
+    """A majority's confirmation counts for a read, or a refusal, however long ago it was asked for."""
     real = Keeper.on_confirmed
 
     def on_confirmed(self: Keeper, frame: frames.Confirmed, now_s: float) -> list[Any]:
@@ -107,8 +107,8 @@
 
 
 def believe_any_epoch(patch: Patch) -> None:
-    """A node below takes any root's word."""
-    patch(Below, "fresh", lambda self, word: True)
+    """A downstream node accepts any root's announcement."""
+    patch(DownstreamNode, "accepts", lambda self, announced: True)
 
 
 def refuse_what_is_forgotten(patch: Patch) -> None:
--- a/lab/histories/network.py
+++ b/lab/histories/network.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 from cypressbeam import frames
-from lab.histories.downstream import Pasts
 from lab.histories.events import EventLoop
 from lab.histories.plans import Step
+from lab.histories.vector_clocks import VectorClocks
 
 #: The operators' place on the network.
 CLIENT = "client"
@@ -20,7 +20,7 @@
 
 
 class Network:
-    """Carries messages by `frame` events. Each takes the sender's vector time with it (`pasts`)."""
+    """Carries messages by `frame` events. Each takes the sender's vector time with it (`clocks`)."""
 
     def __init__(self, loop: EventLoop, chance: random.Random, ips: tuple[str, ...], way_s: tuple[float, float],
                  loss: float, large: bool) -> None:
@@ -38,13 +38,13 @@
         """In which nothing gets through."""
         self.cuts: list[tuple[Step, Directions]] = []
         """By the steps that are under way."""
-        self.pasts = Pasts(ips)
+        self.clocks = VectorClocks(ips)
 
     def send(self, origin: str, ip: str, frame: frames.Frame) -> None:
         """It may be lost, come twice, or be overtaken."""
-        past = self.pasts.leave(origin, self.loop.now_s) if origin != CLIENT else {}
+        time = self.clocks.on_send(origin, self.loop.now_s) if origin != CLIENT else {}
         for _ in range(1 + (self.chance.random() < self.loss / 2)):
-            self.try_way("frame", ip, origin, frame, past)
+            self.try_way("frame", ip, origin, frame, time)
 
     def try_way(self, *event: Any) -> None:
         """One event that a message makes at its receiver, unless it is lost."""
--- a/lab/histories/observer.py
+++ b/lab/histories/observer.py
@@ -1,5 +1,5 @@
 """What an observer of the simulated core sees: each entry that was synced or committed, each view that was active, and
-the nodes below that hear the roots. It raises Violation at once for what must not be."""
+the downstream nodes that hear the roots. It raises Violation at once for what must not be."""
 
 from __future__ import annotations
 
@@ -7,14 +7,14 @@
 
 from cypressbeam.agreement import Keeper
 from cypressbeam.chain import Entry
-from lab.histories.downstream import Below, Word
+from lab.histories.downstream import Announcement, DownstreamNode
 from lab.histories.invariants import Violation, demand
 
 
 class Observer:
     """Checks, over all machines: one entry a number, one chain an epoch, enough copies, no step back below."""
 
-    def __init__(self, below: Iterable[str], enough: int) -> None:
+    def __init__(self, downstream: Iterable[str], enough: int) -> None:
         self.enough = enough
         """Copies that an active chain must have."""
         self.committed: dict[int, Entry] = {}
@@ -23,7 +23,7 @@
         """What was ever on some disk, by number and revision."""
         self.chains: dict[int, tuple[str, ...]] = {}
         """What was ever active, by epoch."""
-        self.below = {name: Below() for name in below}
+        self.downstream = {name: DownstreamNode() for name in downstream}
 
     def on_synced(self, entry: Entry) -> None:
         """Some machine has put an entry on disk."""
@@ -34,9 +34,9 @@
         known = self.committed.setdefault(entry.number, entry)
         demand(known.body == entry.body, f"entry {entry.number} was committed as {known.body!r} and {entry.body!r}")
 
-    def on_word(self, name: str, word: Word) -> None:
-        """A node below hears a root."""
-        wrong = self.below[name].take(word)
+    def on_announced(self, name: str, announced: Announcement) -> None:
+        """A downstream node hears a root."""
+        wrong = self.downstream[name].take(announced)
         demand(wrong is None, str(wrong))
 
     def check(self, keeper: Keeper) -> None:
--- a/lab/histories/plans.py
+++ b/lab/histories/plans.py
@@ -11,8 +11,8 @@
 
 MACHINES = ("a", "b", "c", "d", "e")
 IPS = MACHINES[:3]
-#: Nodes below the core.
-BELOW = ("n1", "n2", "n3")
+#: Nodes downstream of the core.
+DOWNSTREAM = ("n1", "n2", "n3")
 OPERATORS = ("x", "y")
 #: Seconds: one history's troubles and orders, and those of one with long freezes and cuts.
 LASTS_S, LONG_LASTS_S = 20.0, 50.0
--- a/lab/histories/runner.py
+++ b/lab/histories/runner.py
@@ -13,7 +13,7 @@
 
 #: Seconds in which all must work again once nothing disturbs it; the last of them are those of the calls at rest.
 CALM_S, LAST_CALLS_S = 12.0, 4.0
-#: The nodes below have the newest version so long after it was read.
+#: The downstream nodes have the newest version so long after it was read.
 SETTLE_S = 0.5
 #: Messages that are lost in histories of many changes.
 QUICK_LOSS = 0.002
@@ -58,7 +58,7 @@
     one_change_a_base(calls)
     linearizable(calls, world.chain())
     newest = max(entry.revision for entry in world.observer.committed.values())
-    for name, node in world.observer.below.items():
+    for name, node in world.observer.downstream.items():
         demand(node.revision == newest, f"at rest {name} has version {node.revision}, not {newest}")
 
 
--- a/lab/histories/simulated_core.py
+++ b/lab/histories/simulated_core.py
@@ -14,12 +14,13 @@
 from cypressbeam.chain import Entry, Publish, Sync, Tell, View, ip_of
 from cypressbeam.marks import Marks
 from lab.histories.disks import Copies, Disk
-from lab.histories.downstream import Past, Word
+from lab.histories.downstream import Announcement
 from lab.histories.events import EventLoop
 from lab.histories.invariants import demand, digest, revision
 from lab.histories.network import CLIENT, Network
 from lab.histories.observer import Observer
-from lab.histories.plans import BELOW, IPS, MACHINES, Step
+from lab.histories.plans import DOWNSTREAM, IPS, MACHINES, Step
+from lab.histories.vector_clocks import VectorTime
 
 TICK_S = 0.1
 #: Seconds that a frame is on its way, and a write takes; in histories of many changes, where also less is lost.
@@ -64,7 +65,7 @@
         self.lying, self.same_name = lying, same_name
         group = self.ips[:machines - standing_by]
         enough = len(group) // 2 + 1
-        self.observer = Observer(BELOW, enough)
+        self.observer = Observer(DOWNSTREAM, enough)
         self.copies = copies or enough
         self.disks = {ip: Disk(f"{ip}/0") for ip in self.ips}
         self.copies_of_disks = Copies(seed)
@@ -83,7 +84,7 @@
         """The version that each machine has published in this life."""
         self.trace: list[str] = []
         self.handlers |= {"tick": self.on_tick, "written": self.on_written, "frame": self.on_frame,
-                          "held": self.on_held, "word": self.hear}
+                          "held": self.on_held, "announcement": self.hear}
         self.found(group)
 
     def found(self, group: tuple[str, ...]) -> None:
@@ -213,13 +214,13 @@
             step = self.orphans.pop()
             self.at(self.chance.uniform(0.0, 0.4), "begin", "", Step(self.now_s, "kill", ip, step.for_s))
 
-    # -- contact, and the nodes below ----------------------------------------------------------------------
+    # -- contact, and downstream nodes ----------------------------------------------------------------------
 
     def alone_s(self, ip: str) -> float:
         """How long ago a machine was last in contact with a majority, by what the frames that it has read prove."""
         view = self.keepers[ip].view
         group = tuple(ip_of(name) for name in view.group) if view is not None else ()
-        return self.now_s - self.network.pasts.contact_s(ip, group, self.now_s)
+        return self.now_s - self.network.clocks.contact_s(ip, group, self.now_s)
 
     def may_answer(self, ip: str, frame: frames.Frame) -> None:
         """What is in force is told only by a machine in contact with a majority."""
@@ -228,20 +229,20 @@
             demand(self.alone_s(ip) <= ANSWER_BOUND_S + LEEWAY_S, f"{ip} answers after {self.alone_s(ip):.3f} s alone")
 
     def speak(self, ip: str) -> None:
-        """The root tells the nodes below what it has."""
+        """The root announces to the downstream nodes what it has."""
         keeper = self.keepers[ip]
         if not keeper.holds_root(self.now_s) or keeper.view is None or not self.told[ip]:
             return
         alone_s = self.alone_s(ip)
         demand(alone_s <= ROOT_BOUND_S + LEEWAY_S, f"{ip} speaks as the root after {alone_s:.3f} s alone")
-        word = Word(keeper.view.epoch, ip, self.told[ip])
-        for name in BELOW:
-            self.network.try_way("word", name, ip, word)
+        announced = Announcement(keeper.view.epoch, ip, self.told[ip])
+        for name in DOWNSTREAM:
+            self.network.try_way("announcement", name, ip, announced)
 
-    def hear(self, name: str, ip: str, word: Word) -> None:
-        """What a root tells is at a node below, unless the way is cut."""
+    def hear(self, name: str, ip: str, announced: Announcement) -> None:
+        """A root's announcement is at a downstream node, unless the way is cut."""
         if (ip, name) not in self.network.cut:
-            self.observer.on_word(name, word)
+            self.observer.on_announced(name, announced)
 
     # -- messages ------------------------------------------------------------------------------------------
 
@@ -249,27 +250,27 @@
         """A machine, or an operator, sends a message."""
         self.network.send(origin, ip, frame)
 
-    def on_frame(self, ip: str, origin: str, frame: frames.Frame, past: Past) -> None:
+    def on_frame(self, ip: str, origin: str, frame: frames.Frame, time: VectorTime) -> None:
         """A message is at a machine or at the operators, unless the way is cut."""
         if ip == CLIENT:
             if (origin, ip) not in self.network.cut:
                 self.answer(frame)
         elif ip in self.keepers and self.network.passes(origin, ip, frame):
-            self.take(ip, origin, frame, past)
+            self.take(ip, origin, frame, time)
 
-    def on_held(self, ip: str, origin: str, frame: frames.Frame, past: Past) -> None:
+    def on_held(self, ip: str, origin: str, frame: frames.Frame, time: VectorTime) -> None:
         """A message that waited in a socket is read, whatever is cut by now."""
         if ip in self.keepers:
-            self.take(ip, origin, frame, past)
+            self.take(ip, origin, frame, time)
 
-    def take(self, ip: str, origin: str, frame: frames.Frame, past: Past) -> None:
+    def take(self, ip: str, origin: str, frame: frames.Frame, time: VectorTime) -> None:
         """It is carried out once its body is there too."""
         wait_s = self.network.body_due_s(origin, ip, frame.body_field())
         if wait_s > 0.0:
-            self.at(wait_s, "frame", ip, origin, frame, past)
+            self.at(wait_s, "frame", ip, origin, frame, time)
         else:
             if origin != CLIENT:
-                self.network.pasts.read(ip, origin, past)
+                self.network.clocks.on_read(ip, origin, time)
             self.deliver(ip, frame)
 
     def deliver(self, ip: str, frame: frames.Frame) -> None:
--- a/lab/histories/troubles.py
+++ b/lab/histories/troubles.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from lab.histories.network import CLIENT, Directions
-from lab.histories.plans import BELOW, INSTEAD, POWER_OLDER, Step
+from lab.histories.plans import DOWNSTREAM, INSTEAD, POWER_OLDER, Step
 from lab.histories.simulated_core import SimulatedCore
 
 
@@ -36,13 +36,13 @@
 
 
 class Cut:
-    """One machine is cut off from the others. Operators and the nodes below still reach it, unless all is cut."""
+    """One machine is cut off from the others. Operators and the downstream nodes still reach it, unless all is cut."""
 
     def begin(self, core: SimulatedCore, step: Step) -> None:
         view = core.newest_view()
         placed = {"lead": view.head, "tail": view.tail} if view is not None else {}
         ip = placed.get(step.kind, step.where)
-        others = [other for other in core.ips if other != ip] + [CLIENT, *BELOW] * (step.kind == "cut")
+        others = [other for other in core.ips if other != ip] + [CLIENT, *DOWNSTREAM] * (step.kind == "cut")
         pairs: Directions = set()
         if step.kind != "deaf":
             pairs |= {(ip, other) for other in others}
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -10,9 +10,10 @@
 from cypressbeam.agreement import DEAD_S, ROOT_ALONE_S, STALL_S, Keeper, Lead, SavePromise
 from cypressbeam.chain import Tell, View
 from lab.histories import faults, invariants, runner, simulated_core
-from lab.histories.downstream import Below, Pasts, Word
+from lab.histories.downstream import Announcement, DownstreamNode
 from lab.histories.network import CLIENT
 from lab.histories.plans import Step, make_plan, shape_of
+from lab.histories.vector_clocks import VectorClocks
 from lab.histories.world import World
 from lab.membership import Cluster
 
@@ -229,20 +230,20 @@
 
 
 def test_a_node_below_keeps_to_the_highest_epoch_and_to_one_root_in_it() -> None:
-    node = Below()
-    assert node.take(Word(512, "b", 20)) is None and node.take(Word(256, "c", 10)) is None
+    node = DownstreamNode()
+    assert node.take(Announcement(512, "b", 20)) is None and node.take(Announcement(256, "c", 10)) is None
     assert (node.epoch, node.revision) == (512, 20)
-    assert "goes back" in (node.take(Word(768, "a", 10)) or "")
-    assert "two roots" in (Below(512, 20, {512: "b"}).take(Word(512, "c", 30)) or "")
+    assert "goes back" in (node.take(Announcement(768, "a", 10)) or "")
+    assert "two roots" in (DownstreamNode(512, 20, {512: "b"}).take(Announcement(512, "c", 30)) or "")
 
 
 def test_what_frames_prove_of_contact_is_as_old_as_what_their_sender_had_read() -> None:
-    pasts = Pasts(("a", "b", "c"))
-    sent = pasts.leave("a", 1.0)
-    pasts.read("b", "a", sent)
-    pasts.read("a", "b", pasts.leave("b", 1.1))
-    assert pasts.contact_s("a", ("a", "b", "c"), 21.0) == 1.0
-    assert pasts.contact_s("b", ("a", "b", "c"), 21.0) == agreement.NEVER_S
+    clocks = VectorClocks(("a", "b", "c"))
+    sent = clocks.on_send("a", 1.0)
+    clocks.on_read("b", "a", sent)
+    clocks.on_read("a", "b", clocks.on_send("b", 1.1))
+    assert clocks.contact_s("a", ("a", "b", "c"), 21.0) == 1.0
+    assert clocks.contact_s("b", ("a", "b", "c"), 21.0) == agreement.NEVER_S
 
 
 def test_five_machines_work_on_without_two() -> None:
