Split the relay into the parts of the distribution tree, with a table from message to handler

Now cypressbeam/distribution/ holds a class each for epoch fencing, registration, the root locator, the subscription to a parent, children, heartbeats, the position in the tree, the feed to children, and the replicas of configuration and list, none with more than 12 attributes; relay.py joins them and handles the tree's messages. What core.py calls on the relay stays as it was, by delegates and properties at the end of Relay (18 of its members): they go once core.py names the parts. The logger of 'behind for' and of a wrong update is cypressbeam.distribution.configuration_replica now. Tests: imports and names only.

--- /dev/null
+++ b/cypressbeam/distribution/__init__.py
@@ -0,0 +1,16 @@
+"""The distribution tree: how a node joins it, and how the configuration and the list of servers come down to it.
+
+`relay.py` joins the parts. Each has its own state:
+
+| module | what it holds |
+| --- | --- |
+| `context` | what all parts share: settings, connections, clock, randomness |
+| `fencing` | the highest epoch seen; messages of older epochs are rejected |
+| `registration` | what the node says of itself, and its assignment |
+| `root_locator` | the root's address, and the search for it |
+| `subscription` | the parent |
+| `children` | the subscribers |
+| `heartbeats` | the root's heartbeats, and keep-alives |
+| `configuration_replica` | the configuration, and its fetch |
+| `server_list_replica` | the list of servers |
+"""
--- /dev/null
+++ b/cypressbeam/distribution/configuration_replica.py
@@ -0,0 +1,216 @@
+"""The replica of the committed configuration that goes down the distribution tree.
+
+A parent names a version (`News`), or sends what it changes (`Update`); the body is fetched from it in slices beside
+that (bodies.py). Bodies are fetched one at a time, so that each is the base of the next.
+Invariant: the revision never falls.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from cypressbeam import frames
+from cypressbeam.bodies import BRIEF_BYTES, Bodies
+from cypressbeam.distribution.context import NodeContext
+from cypressbeam.distribution.fencing import EpochFence
+from cypressbeam.peers import Link
+
+log = logging.getLogger(__name__)
+
+#: A node that has been behind the newest version for so long says so in its log, once.
+BEHIND_S = 1.0
+#: Under which key the replica's fetches stand in `Bodies`.
+FETCH_KEY = "news"
+
+
+class Transfer:
+    """The fetch of the newest body, and of one before it that did not move. On a full link nothing would ever come in a
+    storm of versions, if each put an end to the one before."""
+
+    def __init__(self, bodies: Bodies) -> None:
+        self.bodies = bodies
+        self.mark = b""
+        """The digest of the body that is on its way here, or nothing."""
+        self.elder = b""
+        """That of one before it, which does not move: it is waited for beside the newest."""
+
+    def may_begin(self, mark: bytes) -> bool:
+        """Whether a body may be fetched now, for none before it is on its way and moves."""
+        if not self.mark or self.mark == mark:
+            return True
+        if self.bodies.comes(self.mark):
+            return False
+        if self.bodies.sought(self.elder):
+            self.bodies.drop(self.mark, FETCH_KEY)
+        else:
+            self.elder = self.mark
+        return True
+
+    def end(self) -> None:
+        """The body is here, or wanted no more."""
+        self.bodies.drop(self.mark, FETCH_KEY)
+        self.mark = b""
+
+    def end_elder(self) -> None:
+        """The newest body is here: the one before it is wanted no more."""
+        self.bodies.drop(self.elder, FETCH_KEY)
+        self.elder = b""
+
+
+@dataclass(slots=True)
+class Lag:
+    """Since when a newer version is known of than is here; 0: none is."""
+
+    since_s: float = 0.0
+    reported: bool = False
+
+    def begin(self, now_s: float) -> None:
+        """A newer version is known of."""
+        self.since_s = self.since_s or now_s
+
+    def end(self) -> None:
+        """The newest version is here."""
+        self.since_s, self.reported = 0.0, False
+
+    def is_to_report(self, now_s: float) -> bool:
+        """Whether it lasts for long and was not reported; then it counts as reported."""
+        if now_s - self.since_s <= BEHIND_S or self.reported:
+            return False
+        self.reported = True
+        return True
+
+
+@dataclass(slots=True)
+class Announced:
+    """What children are told of the version that is here."""
+
+    message: frames.News | frames.Update | None = None
+    base: int = 0
+    """The revision that was here before: to a child that has it the message is enough."""
+
+
+class ConfigurationReplica:
+    """The newest configuration that is here, and the fetch of a newer one."""
+
+    def __init__(self, context: NodeContext, fence: EpochFence, tell: Callable[[frames.Frame], None],
+                 standing: Callable[[], int], parent_ip: Callable[[], str]) -> None:
+        """`tell` sends to all children, `standing` is the epoch under which this node's own statements stand."""
+        self.context = context
+        self.fence = fence
+        self.tell = tell
+        self.standing = standing
+        self.parent_ip = parent_ip
+        self.revision = 0
+        self.body = b""
+        self.newest = (0, b"")
+        """The newest version that was told of: its revision, and its body's digest."""
+        self.announced = Announced()
+        self.transfer = Transfer(context.peers.bodies)
+        self.lag = Lag()
+        self.on_committed: Callable[[int, bytes], None] = lambda revision, body: None
+
+    @property
+    def bodies(self) -> Bodies:
+        """All bodies of the node."""
+        return self.context.peers.bodies
+
+    # -- to children ---------------------------------------------------------------------------------------
+
+    def for_child(self, revision: int) -> frames.Frame | None:
+        """What a child that has a revision is told, if anything."""
+        newest, mark = self.newest if self.transfer.mark else (self.revision, b"")
+        if newest <= revision:
+            return None
+        mark = mark or self.bodies.put(self.body)
+        if not self.transfer.mark and revision == self.announced.base and self.announced.message is not None:
+            return replace(self.announced.message, epoch=self.standing())
+        return frames.News(newest, mark, self.standing())
+
+    def publish(self, revision: int, body: bytes) -> None:
+        """A committed configuration. One that is not newer is no news: a node never goes back."""
+        if revision <= self.revision:
+            return
+        before, former = self.revision, self.bodies.put(self.body) if self.body else b""
+        self.revision, self.body = revision, body
+        mark = self.bodies.put(body)
+        if revision > self.newest[0]:
+            self.newest = (revision, mark)
+        if revision == self.newest[0]:
+            self.lag.end()
+        self.announce(mark, before, former)
+        if self.transfer.mark != self.newest[1] or revision == self.newest[0]:
+            self.transfer.end()
+        if revision == self.newest[0]:
+            self.transfer.end_elder()
+        self.on_committed(revision, body)
+
+    def announce(self, mark: bytes, before: int, former: bytes) -> None:
+        """Tell children of the version that is here, in what it changes where that is little."""
+        brief = self.bodies.brief(mark, former)
+        message = (frames.Update(self.revision, mark, former, brief, self.standing()) if brief
+                   else frames.News(self.revision, mark, self.standing()))
+        self.announced = Announced(message, before)
+        if brief or mark != self.transfer.mark:  # otherwise children were told when it began to come
+            self.tell(message)
+
+    # -- from the parent -----------------------------------------------------------------------------------
+
+    def on_news(self, link: Link, frame: frames.News) -> None:
+        """A version is to be had from a node that has it, or a part of it."""
+        if not self.fence.rejects(link, frame.epoch) and self.wants(frame.revision, frame.mark):
+            self.fetch(link.ip)
+
+    def on_update(self, link: Link, frame: frames.Update) -> None:
+        """A version, in what has changed since the one before. Who lacks that one fetches it all."""
+        if len(frame.mark) != frames.DIGEST or len(frame.data) > BRIEF_BYTES:
+            log.warning("node %s: an update of %d bytes for %d", link.ip, len(frame.data), len(frame.mark))
+            link.close()
+        elif not self.fence.rejects(link, frame.epoch) and self.wants(frame.revision, frame.mark):
+            body = self.bodies.open_brief(frame.mark, frame.base, frame.data)
+            if body is None:
+                self.fetch(link.ip)
+            else:
+                self.publish(frame.revision, body)
+
+    def wants(self, revision: int, mark: bytes) -> bool:
+        """Whether a version that a node tells of is to be got; then it is the newest one."""
+        if revision <= self.revision or revision < self.newest[0]:
+            return False
+        self.newest = (revision, mark)
+        self.lag.begin(self.context.now_s())
+        return True
+
+    def fetch(self, source: str) -> None:
+        """Get the newest body, one at a time. Children are told as it begins to come, and take it as it comes. An
+        older one that does not move holds up nothing: the newest is asked for beside it."""
+        revision, mark = self.newest
+        if not self.transfer.may_begin(mark):
+            return
+        if self.transfer.mark != mark:
+            self.transfer.mark = mark
+            self.tell(frames.News(revision, mark, self.standing()))
+        self.bodies.need(mark, source, lambda body: self.take(revision, body, source), key=FETCH_KEY)
+
+    def take(self, revision: int, body: bytes, source: str) -> None:
+        """A body is here; the next one may be wanted already."""
+        self.publish(revision, body)
+        if self.newest[0] > self.revision:
+            self.fetch(self.parent_ip() or source)
+
+    def lacks(self, revision: int) -> bool:
+        """Whether a revision is neither here nor coming."""
+        coming = self.newest[0] if self.bodies.comes(self.transfer.mark) else self.revision
+        return revision > coming
+
+    def note_behind(self, revision: int) -> None:
+        """A revision is in force. Say once that this node has been behind for long, and how its fetch stands."""
+        if revision <= self.revision:
+            return
+        now_s = self.context.now_s()
+        self.lag.begin(now_s)
+        if self.lag.is_to_report(now_s):
+            log.warning("behind for %.1f s: version %d is here, %d is known of, %d in force; %s",
+                        now_s - self.lag.since_s, self.revision, self.newest[0], revision,
+                        self.bodies.how(self.transfer.mark))
--- /dev/null
+++ b/cypressbeam/distribution/feed.py
@@ -0,0 +1,73 @@
+"""What a node sends to its children: what each lacks when it subscribes, and the root's heartbeats."""
+
+from __future__ import annotations
+
+from cypressbeam import frames
+from cypressbeam.distribution.children import Children
+from cypressbeam.distribution.configuration_replica import ConfigurationReplica
+from cypressbeam.distribution.heartbeats import BEAT_S
+from cypressbeam.distribution.position import TreePosition
+from cypressbeam.distribution.server_list_replica import ServerListReplica
+from cypressbeam.peers import Link
+
+
+class Feed:
+    """Serves the children; at the root it also makes the heartbeats."""
+
+    def __init__(self, position: TreePosition, children: Children, configuration: ConfigurationReplica,
+                 servers: ServerListReplica) -> None:
+        self.position = position
+        self.children = children
+        self.configuration = configuration
+        self.servers = servers
+
+    def on_attach(self, link: Link, frame: frames.Attach) -> None:
+        """A child subscribes."""
+        fence = self.position.fence
+        if self.position.registration.leaving:
+            link.close()
+            return
+        if frame.epoch < fence.epoch:
+            link.send(fence.redirect())
+        fence.see(frame.epoch)
+        if not self.position.may_feed():
+            link.send(frames.Released())
+            return
+        self.children.add(link, frame)
+        if self.position.standing() == fence.epoch:
+            self.serve(link, frame)
+
+    def serve(self, link: Link, had: frames.Attach) -> None:
+        """What a child lacks, and the last heartbeat while that is news."""
+        self.children.served(link)
+        epoch, beat = self.position.fence.epoch, self.position.heartbeats.last
+        in_force = epoch if self.position.is_root else self.servers.epoch
+        for frame in (self.configuration.for_child(had.revision), self.servers.for_child(had, in_force, epoch)):
+            if frame is not None:
+                link.send(frame)
+        if beat is not None and beat.epoch == epoch and self.position.named():
+            link.send(beat)
+
+    def pass_beat(self, frame: frames.Beat) -> None:
+        """To all children; those that came while this node could not vouch for what it has get that now."""
+        self.position.heartbeats.last = frame
+        self.children.tell(frame)
+        for link, had in self.children.waiting():
+            self.serve(link, had)
+
+    def beat(self, life: int) -> None:
+        """The root sends a heartbeat every `BEAT_S`, as long as its term lasts."""
+        if self.position.is_root and self.servers.listing.life == life:
+            self.position.context.loop.call_later(BEAT_S, self.beat, life)
+            self.send_beat()
+
+    def send_beat(self) -> None:
+        """The root sends a heartbeat; one that a majority does not hear has no word to give, and sends a keep-alive."""
+        fence, heartbeats, listing = self.position.fence, self.position.heartbeats, self.servers.listing
+        if not fence.vouched():
+            self.children.tell(frames.Alive())
+            return
+        beat = frames.Beat(listing.life, listing.seq, self.configuration.revision, self.position.registration.fronts,
+                           heartbeats.next_number(listing.life), fence.epoch)
+        heartbeats.take(beat, self.position.context.now_s())
+        self.pass_beat(beat)
--- /dev/null
+++ b/cypressbeam/distribution/registration.py
@@ -0,0 +1,92 @@
+"""A node's registration at the root: what it says of itself, and the assignment that it was given.
+
+The root's node registry is soft state, so a node registers again every `RENEW_S`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from cypressbeam import frames
+from cypressbeam.distribution.context import NodeContext
+from cypressbeam.roster import RENEW_S
+
+#: A node whose event loop was so late lately asks to be given no children; how the lateness fades, each tick.
+SLOW_S, LAG_FADES = 0.3, 0.97
+#: How long the answer of a known root is waited for before the next request to it.
+JOIN_S = 0.4
+JOIN_JITTER_S = 0.1
+
+
+class LoopLag:
+    """How late the event loop was lately; it fades."""
+
+    def __init__(self) -> None:
+        self.lag_s = 0.0
+        self.due_s = 0.0
+        """When the next tick is due; 0: there was none yet."""
+
+    def on_tick(self, now_s: float, period_s: float) -> None:
+        """The timer has come, and comes again after a period."""
+        late_s = now_s - self.due_s if self.due_s else 0.0
+        self.lag_s = max(late_s, self.lag_s * LAG_FADES)
+        self.due_s = now_s + period_s
+
+    def slow(self) -> bool:
+        """Whether the node can't keep up with its own work."""
+        return self.lag_s > SLOW_S
+
+
+class Registration:
+    """What a node tells the root of itself, and the newest assignment (`Place`) from there."""
+
+    def __init__(self, context: NodeContext, flags: int) -> None:
+        self.context = context
+        self.flags = flags
+        self.identity = ""
+        """Of a machine with a disk: its name as a member."""
+        self.assignment: frames.Place | None = None
+        self.fronts = 0
+        """How many nodes serve clients, as far as is known; 0: not at all."""
+        self.lost = ""
+        """The address of a parent that was lost and that the root is to be told of."""
+        self.registered_s = 0.0
+        """When the root answered last."""
+        self.due_s = 0.0
+        """Not before this time a known root is asked again."""
+        self.leaving = False
+        self.lag = LoopLag()
+        self.on_assigned: Callable[[], None] = lambda: None
+
+    def request(self, epoch: int, given: int) -> frames.Join:
+        """The registration as it goes to the root, with the highest epoch seen and the newest one of an assignment or
+        heartbeat."""
+        settings = self.context.settings
+        flags = self.flags | (frames.SLOW if self.lag.slow() else 0)
+        return frames.Join(settings.node, settings.ip, settings.zone, flags, int(self.assignment is not None),
+                           self.lost, self.identity, max(int(settings.link_mbps * 1000), 1), epoch, given)
+
+    def expires(self, now_s: float) -> bool:
+        """Whether the registration is to be renewed."""
+        return not self.leaving and now_s - self.registered_s >= RENEW_S
+
+    def may_ask(self, now_s: float) -> bool:
+        """Whether a known root may be asked now; then not again for a while."""
+        if now_s < self.due_s:
+            return False
+        self.due_s = now_s + JOIN_S + self.context.chance.uniform(0.0, JOIN_JITTER_S)
+        return True
+
+    def assign(self, assignment: frames.Place, now_s: float) -> None:
+        """The root has answered."""
+        self.registered_s, self.lost = now_s, ""
+        self.assignment = assignment
+        self.fronts = assignment.fronts or self.fronts
+
+    def chain(self) -> tuple[str, ...]:
+        """Addresses of the core's chain, as the root told them with the assignment."""
+        return self.assignment.members if self.assignment is not None else ()
+
+    def assigned_epoch(self) -> int:
+        """The epoch of the assignment; 0: there is none."""
+        return self.assignment.epoch if self.assignment is not None else 0
--- /dev/null
+++ b/cypressbeam/distribution/server_list_replica.py
@@ -0,0 +1,51 @@
+"""The replica of the list of servers that goes down the distribution tree."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from cypressbeam import frames
+from cypressbeam.listing import Listing
+
+
+class ServerListReplica:
+    """The list as it is here, and the epoch in which it was in force."""
+
+    def __init__(self) -> None:
+        self.listing = Listing()
+        self.epoch = 0
+        """The newest epoch in which the list that is here was in force."""
+        self.on_change: Callable[[], None] = lambda: None
+
+    def begin_term(self, life: int) -> None:
+        """This node is the root: its own list goes down from here."""
+        self.listing = Listing(life)
+
+    def is_at(self, life: int, seq: int) -> bool:
+        """Whether the list that is here is that of a term and sequence number."""
+        return (life, seq) == (self.listing.life, self.listing.seq)
+
+    def confirm(self, beat: frames.Beat) -> None:
+        """A heartbeat names the list that is in force in its epoch."""
+        if self.is_at(beat.life, beat.seq):
+            self.epoch = beat.epoch
+
+    def lacks(self, beat: frames.Beat) -> bool:
+        """Whether a heartbeat names a list that is not here."""
+        return bool(beat.seq) and not self.is_at(beat.life, beat.seq)
+
+    def for_child(self, had: frames.Attach, in_force: int, epoch: int) -> frames.Servers | None:
+        """The whole list, if a child has another one and the list that is here, in force in one epoch, is that of the
+        current one."""
+        if not self.listing.seq or in_force != epoch or self.is_at(had.life, had.seq):
+            return None
+        return replace(self.listing.whole(), epoch=in_force)
+
+    def apply(self, frame: frames.Servers) -> bool | None:
+        """Take rows of the parent's. Returns whether they were new, or None if they don't follow on what is here."""
+        fresh = self.listing.apply(frame)
+        if fresh is None:
+            return None
+        self.epoch = frame.epoch
+        return bool(fresh)
--- a/cypressbeam/node.py
+++ b/cypressbeam/node.py
@@ -18,7 +18,7 @@
 from cypressbeam.core import Core, Founding
 from cypressbeam.gate import OVERFLOW, Gate
 from cypressbeam.peers import Link, Peers
-from cypressbeam.relay import Relay
+from cypressbeam.relay import Handlers, Relay
 from cypressbeam.settings import VARIABLE, Settings, SettingsError, load
 from cypressbeam.store import Storage, Store
 from cypressbeam.survey import Survey
@@ -86,9 +86,9 @@
         self.peers = Peers(settings.ip, settings.peer_port, self.on_frame, self.on_lost, settings.link_mbps,
                            settings.front is not None)
         self.relay = Relay(settings, self.peers, flags)
-        self.relay.on_configuration = self.take_configuration
-        self.relay.on_servers = self.take_servers
-        self.relay.on_place = self.take_place
+        self.relay.configuration.on_committed = self.take_configuration
+        self.relay.servers.on_change = self.take_servers
+        self.relay.registration.on_assigned = self.take_place
         self.watch = Watch(settings.peer_port, self.on_silent)
         self.gate = self.make_gate()
         self.core: Core | None = None
@@ -105,6 +105,7 @@
             self.gate.on_fault = self.note_fault
         self.frontends: list[Frontend] = []
         self.tasks: set[asyncio.Task[None]] = set()
+        self.handlers = self.relay.handlers() | self.node_handlers() | self.root_handlers(self.core)
 
     def make_gate(self) -> Gate | None:
         return Gate(self.settings) if self.settings.front else None
@@ -185,7 +186,7 @@
             return
         if new.seeds != self.settings.seeds:
             log.info("settings: seeds are %s", " ".join(f"{host}:{port}" for host, port in new.seeds))
-        self.settings = self.relay.settings = new
+        self.settings = self.relay.context.settings = new
         if self.core is not None:
             self.core.settings = new
 
@@ -214,7 +215,7 @@
         for tell in founding.tick(self.loop.time()):
             assert isinstance(tell, Tell)
             self.peers.send(tell.ip, tell.frame)
-        if founding.done() or self.relay.place is not None:
+        if founding.done() or self.relay.registration.assignment is not None:
             self.founding = None
         else:
             self.loop.call_later(FOUNDING_TICK_S, self.found)
@@ -225,23 +226,24 @@
         """The chain, head first, as this node knows it; empty before it does."""
         if self.core is not None and self.core.view is not None:
             return self.core.view.members
-        return self.relay.place.members if self.relay.place is not None else ()
+        return self.relay.registration.chain()
 
     def better_reader(self) -> Address | None:
         """A machine of the core, where this node's link would take long for the whole configuration. Any of them: one
         may be down, and the caller asks again."""
         control, members = self.settings.control, self.members()
-        takes_s = len(self.relay.body) * 8 / (self.settings.link_mbps * 1e6)
+        takes_s = len(self.relay.configuration.body) * 8 / (self.settings.link_mbps * 1e6)
         if control is None or self.core is not None or not members or takes_s < READ_S:
             return None
-        return self.relay.chance.choice(members), control[1]
+        return self.relay.context.chance.choice(members), control[1]
 
     def alone(self) -> bool:
         """Whether this node has looked for the root for long, and heard none of those that may know it."""
         relay, now_s = self.relay, self.loop.time()
-        if self.core is not None or relay.parent is not None or now_s - (relay.told_s or 0.0) < ALONE_S:
+        heard_s = relay.heartbeats.root_heard_s or 0.0
+        if self.core is not None or relay.parent is not None or now_s - heard_s < ALONE_S:
             return False
-        group, seeds = relay.known()
+        group, seeds = relay.locator.known()
         return all(now_s - self.peers.heard.get(ip, 0.0) > ALONE_S for ip in [*group, *seeds])
 
     def tell(self) -> dict[str, Any]:
@@ -250,7 +252,8 @@
         return {"name": settings.node, "ip": settings.ip, "zone": settings.zone,
                 "parent": relay.parent.ip if relay.parent is not None else None, "is_root": relay.is_root,
                 "children": len(relay.children), "revision": relay.revision, "servers": len(relay.listing.servers),
-                "list": relay.listing.seq, "fronts": relay.fronts, "epoch": relay.epoch, "age_s": relay.age_s(),
+                "list": relay.listing.seq, "fronts": relay.fronts, "epoch": relay.epoch,
+                "age_s": relay.position.age_s(),
                 "ready": self.gate.can_serve() if self.gate is not None else None}
 
     def take_configuration(self, revision: int, body: bytes) -> None:
@@ -265,7 +268,7 @@
             self.gate.take_servers(self.relay.listing.servers)
 
     def take_place(self) -> None:
-        place = self.relay.place
+        place = self.relay.registration.assignment
         if place is None:
             return
         self.watch.take(place.watches, place.watch_names)
@@ -277,8 +280,8 @@
     def on_silent(self, name: str) -> None:
         if self.relay.is_root and self.core is not None:
             self.core.on_suspect(name)
-        elif self.relay.root:
-            self.peers.send(self.relay.root, frames.Suspect(name))
+        elif self.relay.locator.root:
+            self.peers.send(self.relay.locator.root, frames.Suspect(name))
 
     # -- servers that fail ---------------------------------------------------------------------------------
 
@@ -298,13 +301,13 @@
                                          self.loop.time())
             if found:
                 log.info("servers that fail for many of %s: %s", frame.zone, " ".join(found))
-                self.relay.tell(frames.Verdict(frame.zone, tuple(found), self.relay.epoch))
+                self.relay.children.tell(frames.Verdict(frame.zone, tuple(found), self.relay.epoch))
         elif self.relay.parent is not None and frame.hops < MOST_HOPS:
             self.relay.parent.send(replace(frame, hops=frame.hops + 1))
 
     def on_verdict(self, link: Link, frame: frames.Verdict) -> None:
-        if link is self.relay.parent and not self.relay.fenced(link, frame.epoch):
-            self.relay.tell(frame)
+        if link is self.relay.parent and not self.relay.fence.rejects(link, frame.epoch):
+            self.relay.children.tell(frame)
             if self.gate is not None and frame.zone == self.settings.zone:
                 self.gate.take_verdict(frame.servers)
 
@@ -313,63 +316,43 @@
     def on_lost(self, link: Link) -> None:
         self.relay.link_lost(link)
 
+    def node_handlers(self) -> Handlers:
+        """What every node handles beside the messages of the tree. Replies find their request at the control calls."""
+        return {
+            frames.Join: self.on_join,
+            frames.Founded: lambda link, frame: self.on_founded(frame),
+            frames.Ailing: lambda link, frame: self.pass_up(frame),
+            frames.Verdict: self.on_verdict,
+            frames.Outcome: lambda link, frame: self.control.on_outcome(frame),
+            frames.Reading: lambda link, frame: self.control.on_reading(frame),
+            frames.Progress: lambda link, frame: self.control.on_progress(frame),
+            frames.State: lambda link, frame: self.survey.on_state(frame),
+            frames.StandingBy: lambda link, frame: self.survey.on_standing_by(frame),
+        }
+
+    def root_handlers(self, core: Core | None) -> Handlers:
+        """What a machine of the core handles beside the messages of the core itself."""
+        if core is None:
+            return {}
+        return {
+            frames.Found: core.on_found,
+            frames.Suspect: lambda link, frame: core.on_suspect(frame.name) if self.relay.is_root else None,
+            frames.Leave: lambda link, frame: core.on_gone(frame.name, "leaves") if self.relay.is_root else None,
+        }
+
     def on_frame(self, link: Link, frame: frames.Frame) -> None:
-        relay, core = self.relay, self.core
+        """A message from another node, to its handler; what has none here is the core's, on a machine of it."""
+        core = self.core
         if core is not None:
             core.catch_up()
-        if isinstance(frame, frames.Beat):
-            relay.on_beat(link, frame)
-        elif isinstance(frame, frames.News):
-            relay.on_news(link, frame)
-        elif isinstance(frame, frames.Update):
-            relay.on_update(link, frame)
-        elif isinstance(frame, frames.Servers):
-            relay.on_listed(link, frame)
-        elif isinstance(frame, frames.Alive):
-            relay.on_alive(link)
-        elif isinstance(frame, frames.Released):
-            relay.on_released(link)
-        elif isinstance(frame, frames.Attach):
-            relay.on_attach(link, frame)
-        elif isinstance(frame, frames.Join):
-            self.on_join(link, frame)
-        elif isinstance(frame, frames.Refer):
-            relay.on_refer(link, frame)
-        elif isinstance(frame, frames.Place):
-            relay.on_placed(link, frame)
-        elif isinstance(frame, frames.Outcome):
-            self.control.on_outcome(frame)
-        elif isinstance(frame, frames.Reading):
-            self.control.on_reading(frame)
-        elif isinstance(frame, frames.Progress):
-            self.control.on_progress(frame)
-        elif isinstance(frame, frames.State):
-            self.survey.on_state(frame)
-        elif isinstance(frame, frames.StandingBy):
-            self.survey.on_standing_by(frame)
-        elif isinstance(frame, frames.Founded):
-            self.on_founded(frame)
-        elif isinstance(frame, frames.Ailing):
-            self.pass_up(frame)
-        elif isinstance(frame, frames.Verdict):
-            self.on_verdict(link, frame)
+        handler = self.handlers.get(type(frame))
+        if handler is not None:
+            handler(link, frame)
         elif core is not None:
-            self.on_core_frame(core, link, frame)
-
-    def on_core_frame(self, core: Core, link: Link, frame: frames.Frame) -> None:
-        if isinstance(frame, frames.Found):
-            core.on_found(link, frame)
-        elif isinstance(frame, (frames.Suspect, frames.Leave)):
-            if self.relay.is_root:
-                if isinstance(frame, frames.Leave):
-                    core.on_gone(frame.name, "leaves")
-                else:
-                    core.on_suspect(frame.name)
-        else:
             core.on_core(frame)
 
     def on_join(self, link: Link, frame: frames.Join) -> None:
-        self.relay.see(frame.epoch)
+        self.relay.fence.see(frame.epoch)
         if self.relay.is_root and self.core is not None:
             self.core.on_join(link, frame)
             return
@@ -377,7 +360,7 @@
             self.core.on_early_join(link, frame)
         if self.founding is not None and frame.identity and not frame.placed:
             self.founding.candidate(frame.identity, self.loop.time())
-        link.send(self.relay.refer())
+        link.send(self.relay.fence.redirect())
 
     def on_founded(self, frame: frames.Founded) -> None:
         founding = self.founding
--- a/lab/cuts.py
+++ b/lab/cuts.py
@@ -15,7 +15,9 @@
 from typing import Any
 from unittest import mock
 
-from cypressbeam import agreement, core, frames, relay
+from cypressbeam import agreement, core, frames
+from cypressbeam.distribution.fencing import EpochFence
+from cypressbeam.distribution.subscription import HOLD_S
 from cypressbeam.node import GatewayNode
 from cypressbeam.peers import Link
 from cypressbeam.settings import Settings
@@ -91,7 +93,8 @@
     def state(self) -> Any:
         """What a word of the root's may change."""
         at = self.relay
-        return at.newest, at.listing.life, at.listing.seq, sum(at.beats.values()), at.place
+        return (at.configuration.newest, at.listing.life, at.listing.seq, sum(at.heartbeats.numbers.values()),
+                at.registration.assignment)
 
 
 class CutCluster(Cluster):
@@ -171,7 +174,7 @@
             if at is None or at is root or at.relay.parent is None:
                 break
             at = by_ip.get(at.relay.parent.ip)
-        return at is root and self.now_s - node.relay.beat_s < relay.HOLD_S
+        return at is root and self.now_s - node.relay.subscription.beat_s < HOLD_S
 
     def look(self) -> None:
         """One instant: bounds, and that nobody goes back to a list of an earlier root's."""
@@ -322,8 +325,8 @@
 @contextlib.contextmanager
 def no_epochs() -> Iterator[None]:
     """Nobody looks at the epoch of what it is told."""
-    with (mock.patch.object(relay.Relay, "fenced", lambda self, link, epoch: False),
-          mock.patch.object(relay.Relay, "see", lambda self, epoch: setattr(self, "epoch", max(self.epoch, epoch)))):
+    with (mock.patch.object(EpochFence, "rejects", lambda self, link, epoch: False),
+          mock.patch.object(EpochFence, "see", lambda self, epoch: setattr(self, "epoch", max(self.epoch, epoch)))):
         yield
 
 
--- a/lab/membership.py
+++ b/lab/membership.py
@@ -98,7 +98,7 @@
     async def life(self, host: Host, settings: Settings) -> None:
         disk = self.disks.setdefault(settings.node, Disk(f"{len(self.disks):012x}")) if settings.state_dir else None
         node = self.nodes[settings.node] = self.make_node(host, settings, disk)
-        node.relay.chance = random.Random(f"{self.seed} {settings.node} {host.life}")
+        node.relay.context.chance = random.Random(f"{self.seed} {settings.node} {host.life}")
         if node.core is not None:
             node.core.chance = random.Random(f"{self.seed} core {settings.node} {host.life}")
         await node.start()
--- a/lab/news.py
+++ b/lab/news.py
@@ -57,7 +57,7 @@
     async def case(self, name: str, begin: Callable[[], object], config: bool, drain: bool) -> Row:
         """Play one case, and count until all know what it brings."""
         hosts = {host: (host.bytes, settings.front is not None) for host, settings in self.cluster.machines}
-        silent = sum(node.relay.silences for node in self.cluster.nodes.values())
+        silent = sum(node.relay.subscription.silences for node in self.cluster.nodes.values())
         began_s = self.cluster.loop.time()
         config_s = drain_s = None
         told = begin()
@@ -71,7 +71,7 @@
         edges = [(host.bytes - before) / 1000 for host, (before, edge) in hosts.items() if edge]
         cores = [(host.bytes - before) / 1000 for host, (before, edge) in hosts.items() if not edge]
         row = Row(name, config_s, drain_s, sum(edges) / len(edges), max(edges), sum(cores) / len(cores),
-                  sum(node.relay.silences for node in self.cluster.nodes.values()) - silent)
+                  sum(node.relay.subscription.silences for node in self.cluster.nodes.values()) - silent)
         self.rows.append(row)
         await asyncio.sleep(2.0)
         return row
--- a/lab/scale.py
+++ b/lab/scale.py
@@ -120,14 +120,14 @@
         root = cluster.root
         assert root is not None
         machine = next(machine for machine in cluster.machines if machine[1].node == root.settings.node)
-        before = sum(node.relay.looked for node in cluster.edges)
+        before = sum(node.relay.locator.searches for node in cluster.edges)
         began_s = cluster.loop.time()
         cluster.stop(*machine)
         await asyncio.sleep(BACK_S)
         cluster.start(*machine)
         await cluster.until(lambda: cluster.root is not None)
         await self.drain()
-        return cluster.loop.time() - began_s, sum(node.relay.looked for node in cluster.edges) - before
+        return cluster.loop.time() - began_s, sum(node.relay.locator.searches for node in cluster.edges) - before
 
     async def join_late(self) -> float:
         for machine in self.late:
--- a/tests/test_fetches.py
+++ b/tests/test_fetches.py
@@ -193,16 +193,16 @@
         child = next(node for node in cluster.edges if node.relay.parent is not None)
         root, body = cluster.root, cluster.configuration(2)
         assert child.relay.parent is not None and root is not None
-        base = child.relay.bodies.put(child.relay.body)
-        data = delta.pack(cluster.configuration(3) if wrong.startswith("not") else body, child.relay.body)
+        base = child.relay.configuration.bodies.put(child.relay.configuration.body)
+        data = delta.pack(cluster.configuration(3) if wrong.startswith("not") else body, child.relay.configuration.body)
         frame = frames.Update(2, digest(body), digest(b"x") if wrong == "no such base" else base,
                               b"spoilt" if wrong == "spoilt" else data, child.relay.epoch)
         for node in cluster.nodes.values():
-            node.relay.bodies.put(body)
-        child.relay.bodies.held.pop(digest(body))
-        cluster.at(child, child.relay.on_update, child.relay.parent, frame)
+            node.relay.configuration.bodies.put(body)
+        child.relay.configuration.bodies.held.pop(digest(body))
+        cluster.at(child, child.relay.configuration.on_update, child.relay.parent, frame)
         cluster.run(asyncio.sleep(0.5))
-        assert (child.relay.revision, child.relay.body) == (2, body)
+        assert (child.relay.revision, child.relay.configuration.body) == (2, body)
         assert not cluster.net.faults
     finally:
         cluster.close()
@@ -216,7 +216,7 @@
             link = child.relay.parent
             assert link is not None
             with caplog.at_level(logging.WARNING):
-                cluster.at(child, child.relay.on_update, link, frame)
+                cluster.at(child, child.relay.configuration.on_update, link, frame)
             assert link.closed and "an update of" in caplog.text
             cluster.run(asyncio.sleep(2.0))
         assert child.relay.revision == 1
@@ -233,11 +233,13 @@
         source = next(node for node in cluster.nodes.values() if node.settings.ip == parent.ip)
         for node in cluster.nodes.values():
             node.peers.bodies.on_want = lambda link, frame: None  # type: ignore[method-assign]
-        cluster.at(child, child.relay.on_news, parent, frames.News(2, digest(b"nobody sends it"), child.relay.epoch))
+        replica, epoch = child.relay.configuration, child.relay.epoch
+        cluster.at(child, replica.on_news, parent, frames.News(2, digest(b"nobody sends it"), epoch))
         cluster.run(asyncio.sleep(bodies.QUIET_S + 0.1))
         del source.peers.bodies.on_want
         body = cluster.configuration(3)
-        cluster.at(child, child.relay.on_news, parent, frames.News(3, source.relay.bodies.put(body), child.relay.epoch))
+        mark = source.relay.configuration.bodies.put(body)
+        cluster.at(child, replica.on_news, parent, frames.News(3, mark, child.relay.epoch))
         cluster.run(asyncio.sleep(0.3))
         assert child.relay.revision == 3
     finally:
@@ -251,7 +253,7 @@
         for node in cluster.nodes.values():
             node.peers.bodies.on_want = lambda link, frame: None  # type: ignore[method-assign]
         cluster.routes += 2000  # no small change
-        with caplog.at_level(logging.WARNING, logger="cypressbeam.relay"):
+        with caplog.at_level(logging.WARNING, logger="cypressbeam.distribution.configuration_replica"):
             for node in cluster.nodes.values():
                 if node.core is not None:
                     cluster.at(node, node.relay.publish, 2, cluster.configuration(2))
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -282,7 +282,7 @@
         peers = Peers("127.0.0.1", 1, lambda link, frame: None, lambda link: None, 1000.0)
         relay = Relay(parse(BOOT, "boot.conf"), peers, frames.FRONT)
         now_s, told = 100.0, list[frames.Frame]()
-        monkeypatch.setattr(relay, "loop", SimpleNamespace(time=lambda: now_s, call_later=lambda *_: None))
+        monkeypatch.setattr(relay.context, "loop", SimpleNamespace(time=lambda: now_s, call_later=lambda *_: None))
         monkeypatch.setattr(peers, "send", lambda ip, frame: told.append(frame))
         for late_s in (0.0, 0.5, *[0.0] * 60):
             relay.tick()
@@ -425,16 +425,16 @@
         told: list[frames.Frame] = []
         peers = Peers("127.0.0.1", 1, lambda link, frame: None, lambda link: None, 1000.0)
         relay = Relay(parse(BOOT, "boot.conf"), peers, frames.FRONT)
-        monkeypatch.setattr(relay, "tell", told.append)
-        relay.parent = Link(peers, "10.0.0.9")
+        monkeypatch.setattr(relay.children, "tell", told.append)
+        parent = relay.subscription.parent = Link(peers, "10.0.0.9")
         beat = frames.Beat(7, 0, 0, 1, 5)
-        relay.on_beat(relay.parent, beat)
-        relay.heard_s = 0.0
+        relay.on_beat(parent, beat)
+        relay.subscription.heard_s = 0.0
         for again in (beat, frames.Beat(7, 0, 0, 1, 4)):
-            relay.on_beat(relay.parent, again)
-        assert told == [beat] and relay.heard_s == 0.0
-        relay.on_beat(relay.parent, frames.Beat(7, 0, 0, 1, 6))
-        assert len(told) == 2 and relay.heard_s > 0.0
+            relay.on_beat(parent, again)
+        assert told == [beat] and relay.subscription.heard_s == 0.0
+        relay.on_beat(parent, frames.Beat(7, 0, 0, 1, 6))
+        assert len(told) == 2 and relay.subscription.heard_s > 0.0
     run(scenario())
 
 
@@ -443,20 +443,20 @@
         peers = Peers("127.0.0.1", 1, lambda link, frame: None, lambda link: None, 1000.0)
         relay = Relay(parse(BOOT, "boot.conf"), peers, frames.FRONT)
         now_s = 100.0
-        monkeypatch.setattr(relay, "loop", SimpleNamespace(time=lambda: now_s, call_later=lambda *_: None))
+        monkeypatch.setattr(relay.context, "loop", SimpleNamespace(time=lambda: now_s, call_later=lambda *_: None))
         monkeypatch.setattr(relay, "join", lambda now_s: None)
         told: list[frames.Frame] = []
-        monkeypatch.setattr(relay, "tell", told.append)
-        parent = relay.parent = Link(peers, "10.0.0.9")
+        monkeypatch.setattr(relay.children, "tell", told.append)
+        parent = relay.subscription.parent = Link(peers, "10.0.0.9")
         relay.on_beat(parent, frames.Beat(7, 0, 0, 1, 1))
         told.clear()
         while now_s < 101.4:
             now_s += 0.1
-            relay.on_alive(parent)
+            relay.on_alive(parent, frames.Alive())
             relay.tick()
         assert relay.parent is parent and 2 <= told.count(frames.Alive()) <= 4  # it tells its own children the same
         now_s += 0.4
-        relay.on_alive(parent)
+        relay.on_alive(parent, frames.Alive())
         relay.tick()
         assert relay.parent is not parent
     run(scenario())
@@ -469,7 +469,7 @@
         root = Link(peers, "127.0.0.9")
         relay.on_placed(root, frames.Place(1, ("127.0.0.9",), ("127.0.0.8", "127.0.0.9"), (), (), 3, 3, 0))
         relay.on_placed(root, frames.Place(1, ("127.0.0.9",), ("127.0.0.7", "127.0.0.9"), (), (), 3, 3, 0))
-        assert relay.lost == "" and relay.parent is not None and relay.parent.ip == "127.0.0.7"
+        assert relay.registration.lost == "" and relay.parent is not None and relay.parent.ip == "127.0.0.7"
         relay.parent.close()  # this one is lost: the next is tried, and the root will be told
-        assert relay.lost == "127.0.0.7" and relay.parent is not None and relay.parent.ip == "127.0.0.9"
+        assert relay.registration.lost == "127.0.0.7" and relay.parent is not None and relay.parent.ip == "127.0.0.9"
     run(scenario())
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -271,7 +271,7 @@
     assert all(node.relay.revision == taken for node in cluster.edges)
     cluster.order()
     assert await cluster.known_by_all() < 3.0 and cluster.revision == taken + 1
-    assert all(node.relay.body == cluster.configuration(taken + 1) for node in cluster.edges)
+    assert all(node.relay.configuration.body == cluster.configuration(taken + 1) for node in cluster.edges)
 
 
 def test_a_machine_is_replaced_at_another_address_and_then_a_second_loss_is_borne() -> None:
@@ -307,7 +307,7 @@
         node = cluster.newest()
         assert node.core is not None
         cluster.at(node, node.core.on_core, frames.Order(ident, node.settings.ip, 0, body))
-        if await cluster.until(lambda: all(node.relay.body == body for node in cluster.edges), 0.5) < 0.5:
+        if await cluster.until(lambda: all(node.relay.configuration.body == body for node in cluster.edges), 0.5) < 0.5:
             return
     raise AssertionError({node.settings.node: node.relay.revision for node in cluster.edges})
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -36,9 +36,9 @@
 def test_a_relay_that_never_gives_up_a_silent_parent_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
     """The measurement itself: with the tree's mending left out it must not look well."""
     monkeypatch.setattr("lab.membership.SOME", 0.3)  # relays among them, not leaves alone
-    monkeypatch.setattr("cypressbeam.relay.SILENCE_S", math.inf)
-    monkeypatch.setattr("cypressbeam.relay.HOLD_S", math.inf)
-    monkeypatch.setattr(Relay, "link_lost", lambda self, link: self.children.pop(link, None))
+    monkeypatch.setattr("cypressbeam.distribution.subscription.SILENCE_S", math.inf)
+    monkeypatch.setattr("cypressbeam.distribution.subscription.HOLD_S", math.inf)
+    monkeypatch.setattr(Relay, "link_lost", lambda self, link: self.children.remove(link))
     cluster, figures = Cluster(40, 1), {step: Figures() for step in STEPS}
     try:
         cluster.run(play(cluster, figures))
@@ -195,7 +195,7 @@
         child = next(node for node in cluster.nodes.values() if node.relay.parent is not None
                      and node.relay.parent.ip == root.settings.ip)
         link = child.relay.parent
-        cluster.at(root, root.relay.release)
+        cluster.at(root, root.relay.children.release)
         await asyncio.sleep(0.02)
         assert child.relay.parent is None and link is not None and not link.closed
         assert await cluster.until(lambda: len(cluster.depths()) == 4) < 1.0
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -226,7 +226,7 @@
         child = next(node for node in cluster.edges if node.relay.parent is not None)
         assert child.relay.parent is not None
         # It begins with a version that its parent has let go; then comes the newest.
-        cluster.at(child, child.relay.on_news, child.relay.parent, frames.News(2, digest(b"gone")))
+        cluster.at(child, child.relay.configuration.on_news, child.relay.parent, frames.News(2, digest(b"gone")))
         cluster.revision = 2
         root = cluster.root
         assert root is not None
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -90,7 +90,7 @@
     away = [chance.uniform(1.1, 1.75) for _ in cluster.machines]
     await asyncio.gather(*(back(machine, after_s) for machine, after_s in zip(cluster.machines, away, strict=True)))
     return await cluster.until(lambda: len(cluster.edges) == 24 and all(
-        node.relay.revision and node.relay.place is not None for node in cluster.edges))
+        node.relay.revision and node.relay.registration.assignment is not None for node in cluster.edges))
 
 
 def test_after_a_loss_of_all_power_everybody_knows_the_state_soon_after_the_last_machine_is_back() -> None:
