--- a/lab/chaos.py
+++ b/lab/chaos.py
@@ -108,8 +108,7 @@
 
 async def history(cluster: Cluster, seed: int) -> None:
     chance = random.Random(f"chaos {seed}")
-    for machine in cluster.machines:
-        cluster.start(*machine)
+    cluster.start_all()
     await settle(cluster, "the start")
     for number in range(TROUBLES):
         kind = chance.choice(KINDS)
--- a/lab/cuts.py
+++ b/lab/cuts.py
@@ -281,9 +281,7 @@
 
     async def play(self) -> None:
         cluster = self.cluster
-        for machine in cluster.machines:
-            cluster.start(*machine)
-        await cluster.until(lambda: cluster.root is not None and len(cluster.depths()) == len(cluster.edges) > 0)
+        await cluster.start_tree()
         cluster.order()
         await cluster.known_by_all()
         cluster.poll(5)
--- a/lab/fetches.py
+++ b/lab/fetches.py
@@ -121,9 +121,7 @@
 
     async def settle(self) -> None:
         cluster = self.cluster
-        for machine in cluster.machines:
-            cluster.start(*machine)
-        await cluster.until(lambda: cluster.root is not None and len(cluster.depths()) == len(cluster.edges))
+        await cluster.start_tree()
         cluster.order()
         await cluster.known_by_all()
         await asyncio.sleep(4.0)  # all have joined again, under the parents that they keep
--- a/lab/membership.py
+++ b/lab/membership.py
@@ -95,6 +95,16 @@
         self.net.start(host)
         self.loop.create_task(self.life(host, settings), context=host.context)
 
+    def start_all(self) -> None:
+        """Give all machines their power."""
+        for machine in self.machines:
+            self.start(*machine)
+
+    async def start_tree(self) -> None:
+        """Give all machines their power, and wait until all edge nodes are in the root's tree."""
+        self.start_all()
+        await self.until(lambda: self.root is not None and len(self.depths()) == len(self.edges) > 0)
+
     async def life(self, host: Host, settings: Settings) -> None:
         disk = self.disks.setdefault(settings.node, Disk(f"{len(self.disks):012x}")) if settings.state_dir else None
         node = self.nodes[settings.node] = self.make_node(host, settings, disk)
--- a/lab/news.py
+++ b/lab/news.py
@@ -100,9 +100,7 @@
 
     async def play(self, kills: bool) -> None:
         cluster = self.cluster
-        for machine in cluster.machines:
-            cluster.start(*machine)
-        await cluster.until(lambda: cluster.root is not None and len(cluster.depths()) == len(cluster.edges))
+        await cluster.start_tree()
         cluster.poll(SERVERS)
         await self.case("the first configuration", cluster.order, True, False)
         await self.case("one route changes", cluster.order, True, False)
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -82,8 +82,7 @@
 
 
 async def scenario(cluster: Cluster, late: bool) -> None:
-    for machine in cluster.machines:
-        cluster.start(*machine)
+    cluster.start_all()
     await cluster.until(lambda: cluster.root is not None)
     await asyncio.sleep(1.0)
     node = cluster.root
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -14,6 +14,7 @@
 from lab import cuts
 from lab.membership import Cluster
 from mallowworks.frontend import ClientConnection
+from tests.simulated import run_nodes
 
 pytestmark = pytest.mark.usefixtures("quiet")
 
@@ -91,9 +92,7 @@
     cluster = Cluster(6, 1)
 
     async def scenario() -> None:
-        for machine in cluster.machines:
-            cluster.start(*machine)
-        await cluster.until(lambda: cluster.root is not None and len(cluster.depths()) == 6)
+        await cluster.start_tree()
         cluster.order()
         await cluster.known_by_all()
         node = cluster.edges[0]
@@ -107,11 +106,7 @@
         assert answer is not None and answer.status == 503 and (b"Retry-After", b"0.3") in answer.headers
         cluster.net.cut = lambda one, other: False
         assert await cluster.until(lambda: not node.alone() and node.tell()["age_s"] < 0.5) < 2.0
-    try:
-        cluster.run(scenario())
-        assert not cluster.net.faults
-    finally:
-        cluster.close()
+    run_nodes(cluster, scenario())
 
 
 def test_a_system_that_begins_anew_below_what_its_nodes_have_seen_makes_a_view_above_it() -> None:
@@ -119,9 +114,7 @@
     cluster = Cluster(6, 1)
 
     async def scenario() -> None:
-        for machine in cluster.machines:
-            cluster.start(*machine)
-        await cluster.until(lambda: cluster.root is not None and len(cluster.depths()) == 6)
+        await cluster.start_tree()
         for node in cluster.edges:
             node.relay.see(9 << 8)
         cores = cluster.machines[:3]
@@ -135,8 +128,4 @@
                                    and len(cluster.depths()) == 6) < 6.0
         cluster.order()
         assert await cluster.known_by_all() < 3.0
-    try:
-        cluster.run(scenario())
-        assert not cluster.net.faults
-    finally:
-        cluster.close()
+    run_nodes(cluster, scenario())
--- a/tests/test_fetches.py
+++ b/tests/test_fetches.py
@@ -165,9 +165,7 @@
 
 def fleet(edges: int = 4) -> Cluster:
     cluster = Cluster(edges, 1, edge_mbps=2.75, core_mbps=30.0, routes=300)
-    for machine in cluster.machines:
-        cluster.start(*machine)
-    cluster.run(cluster.until(lambda: cluster.root is not None and len(cluster.depths()) == edges))
+    cluster.run(cluster.start_tree())
     cluster.order()
     cluster.run(cluster.known_by_all())
     return cluster
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -14,6 +14,7 @@
 from lab import chaos
 from lab.membership import STEPS, ZONES, Cluster, Figures, measure, play
 from lab.simulation import Net
+from tests.simulated import run_nodes
 
 #: Within this a configuration or a list must be known to all, in seconds (source: DEPLOY.md, convergeMs).
 CONVERGE_S = 3.0
@@ -107,8 +108,7 @@
     one = cluster.machines[0][0]
 
     async def scenario() -> float:
-        for machine in cluster.machines:
-            cluster.start(*machine)
+        cluster.start_all()
         await cluster.until(lambda: cluster.root is not None)
         cluster.net.cut = lambda here, there: one in (here, there)
         await asyncio.sleep(7.0)
@@ -127,8 +127,7 @@
     cluster = Cluster(8, 1)
 
     async def scenario() -> None:
-        for machine in cluster.machines:
-            cluster.start(*machine)
+        cluster.start_all()
         await cluster.until(lambda: cluster.root is not None and len(cluster.root.core.roster.nodes) == 11)  # type: ignore
         root = cluster.root
         assert root is not None and root.core is not None
@@ -142,11 +141,7 @@
         await asyncio.sleep(4.5)
         root.on_frame(root.peers.local, frames.Suspect(name))
         assert name not in root.core.roster.nodes
-    try:
-        cluster.run(scenario())
-        assert not cluster.net.faults
-    finally:
-        cluster.close()
+    run_nodes(cluster, scenario())
 
 
 def test_the_tree_stands_while_the_core_changes_its_view_and_keeps_its_tail() -> None:
@@ -154,9 +149,7 @@
     cluster = Cluster(12, 3)
 
     async def scenario() -> None:
-        for machine in cluster.machines:
-            cluster.start(*machine)
-        await cluster.until(lambda: cluster.root is not None and len(cluster.depths()) == 12)
+        await cluster.start_tree()
         cluster.poll(5)
         cluster.order()
         await cluster.known_by_all()
@@ -176,20 +169,14 @@
         assert len(kept) == 12 - len(fed_by_the_head) > 6
         cluster.order_at(root.members()[0])
         assert await cluster.known_by_all() < CONVERGE_S
-    try:
-        cluster.run(scenario())
-        assert not cluster.net.faults
-    finally:
-        cluster.close()
+    run_nodes(cluster, scenario())
 
 
 def test_children_that_are_let_go_keep_the_connection_and_look_for_another_parent() -> None:
     cluster = Cluster(4, 2)
 
     async def scenario() -> None:
-        for machine in cluster.machines:
-            cluster.start(*machine)
-        await cluster.until(lambda: cluster.root is not None and len(cluster.depths()) == 4)
+        await cluster.start_tree()
         root = cluster.root
         assert root is not None
         child = next(node for node in cluster.nodes.values() if node.relay.parent is not None
@@ -199,11 +186,7 @@
         await asyncio.sleep(0.02)
         assert child.relay.parent is None and link is not None and not link.closed
         assert await cluster.until(lambda: len(cluster.depths()) == 4) < 1.0
-    try:
-        cluster.run(scenario())
-        assert not cluster.net.faults
-    finally:
-        cluster.close()
+    run_nodes(cluster, scenario())
 
 
 def test_frames_of_the_survey_go_there_and_back() -> None:
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -19,6 +19,7 @@
 from lab.membership import Cluster
 from lab.simulation import Host, Net
 from lab.up import demo_configuration
+from tests.simulated import run_nodes
 
 MBPS = 2.75
 
@@ -218,9 +219,7 @@
     cluster = Cluster(3, 1, edge_mbps=2.75, core_mbps=30.0, routes=300)
 
     async def scenario() -> None:
-        for machine in cluster.machines:
-            cluster.start(*machine)
-        await cluster.until(lambda: cluster.root is not None and len(cluster.depths()) == 3)
+        await cluster.start_tree()
         cluster.order()
         await cluster.known_by_all()
         child = next(node for node in cluster.edges if node.relay.parent is not None)
@@ -233,11 +232,7 @@
         cluster.at(root, root.relay.publish, 3, cluster.configuration(3))
         cluster.revision = 3
         assert await cluster.known_by_all() < 1.0
-    try:
-        cluster.run(scenario())
-        assert not cluster.net.faults
-    finally:
-        cluster.close()
+    run_nodes(cluster, scenario())
 
 
 @settings(derandomize=True, max_examples=60, deadline=None)
--- a/tests/test_power_loss.py
+++ b/tests/test_power_loss.py
@@ -21,6 +21,7 @@
 from lab.membership import Cluster
 from lab.powerloss import Life, Lost, Op, image, without
 from lab.simulation import Disk
+from tests.simulated import run_nodes
 
 
 @pytest.fixture(scope="module")
@@ -141,8 +142,7 @@
     cluster.disks[name] = disk
 
     async def play() -> None:
-        for machine in cluster.machines:
-            cluster.start(*machine)
+        cluster.start_all()
         await chaos.settle(cluster, "the start")
         await trouble(cluster, disk)
         if back_s:
@@ -151,11 +151,7 @@
             await asyncio.sleep(cores.LOAD_S + 0.3)
             assert cluster.nodes[name].relay.parent is not None or cluster.nodes[name].relay.is_root
         await chaos.settle(cluster, "the trouble")
-    try:
-        cluster.run(play())
-        assert not cluster.net.faults
-    finally:
-        cluster.close()
+    run_nodes(cluster, play())
     assert disk.kept.last is not None
     return "0123456789ab", disk.kept.identity, disk.kept.last.revision - cluster.revision
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -76,9 +76,7 @@
 
 async def lose_all_power(cluster: Cluster, chance: random.Random) -> float:
     """Seconds from the start of the last machine until all know the configuration and a list again."""
-    for machine in cluster.machines:
-        cluster.start(*machine)
-    await cluster.until(lambda: cluster.root is not None and len(cluster.depths()) == len(cluster.edges) > 0)
+    await cluster.start_tree()
     cluster.order()
     await cluster.known_by_all()
     for machine in cluster.machines:
