--- a/pepperrelay/wire.py
+++ b/pepperrelay/wire.py
@@ -7,7 +7,7 @@
 
 import sys
 from collections.abc import Callable, Iterator, Mapping
-from typing import NoReturn, TextIO, TypeVar
+from typing import Any, NoReturn, TextIO, TypeVar
 
 from pepperrelay import interface as it
 from pepperrelay.balancer import Balancer
@@ -187,26 +187,24 @@
 }
 
 
+#: By the type of an action: its line, for the instance that asks for it.
+WRITERS: dict[type[it.Action], Callable[[int, Any], str]] = {
+    it.Send: lambda who, action: f"PASS_ON {who} {action.request} {action.server} {action.timeout_us}",
+    it.SetTimer: lambda who, action: f"SLEEP {who} {min(action.delay_us, LONGEST_TIMER_US)} {action.token}",
+    it.Fail: lambda who, action: f"REPORT_FAILURE {who} {action.request}",
+    it.Refuse: lambda who, action: f"TURN_AWAY {who} {action.request} {action.retry_after_us}",
+    it.Cancel: lambda who, action: f"WITHDRAW {who} {action.request} {action.attempt}",
+    it.Subscribe: lambda who, action: f"TAIL {who} 1",
+    it.FetchList: lambda who, action: f"READ_LIST {who}",
+    it.Probe: lambda who, action: f"TOUCH {who} {action.server}",
+    it.SendMessage: lambda who, action: f"SAY {who} {action.receiver} {action.data.hex() or '-'}",
+    it.Log: lambda who, action: f"RECORD {who} {' '.join(action.text.split())}",
+}
+
+
 def write_action(who: int, action: it.Action) -> str:
-    if isinstance(action, it.Send):
-        return f"PASS_ON {who} {action.request} {action.server} {action.timeout_us}"
-    if isinstance(action, it.SetTimer):
-        return f"SLEEP {who} {min(action.delay_us, LONGEST_TIMER_US)} {action.token}"
-    if isinstance(action, it.Fail):
-        return f"REPORT_FAILURE {who} {action.request}"
-    if isinstance(action, it.Refuse):
-        return f"TURN_AWAY {who} {action.request} {action.retry_after_us}"
-    if isinstance(action, it.Cancel):
-        return f"WITHDRAW {who} {action.request} {action.attempt}"
-    if isinstance(action, it.Subscribe):
-        return f"TAIL {who} 1"
-    if isinstance(action, it.FetchList):
-        return f"READ_LIST {who}"
-    if isinstance(action, it.Probe):
-        return f"TOUCH {who} {action.server}"
-    if isinstance(action, it.SendMessage):
-        return f"SAY {who} {action.receiver} {action.data.hex() or '-'}"
-    return f"RECORD {who} {' '.join(action.text.split())}"
+    """An action of an instance, as a line of the wire."""
+    return WRITERS[type(action)](who, action)
 
 
 class Host:
