--- a/lab/cuts.py
+++ b/lab/cuts.py
@@ -15,7 +15,9 @@
 from typing import Any
 from unittest import mock
 
-from cypressbeam import agreement, core, frames, relay
+from cypressbeam import agreement, core, frames
+from cypressbeam.distribution.fencing import EpochFence
+from cypressbeam.distribution.subscription import HOLD_S
 from cypressbeam.node import GatewayNode
 from cypressbeam.peers import Link
 from cypressbeam.settings import Settings
@@ -91,7 +93,8 @@
     def state(self) -> Any:
         """What a word of the root's may change."""
         at = self.relay
-        return at.newest, at.listing.life, at.listing.seq, sum(at.beats.values()), at.place
+        return (at.configuration.newest, at.listing.life, at.listing.seq, sum(at.heartbeats.numbers.values()),
+                at.registration.assignment)
 
 
 class CutCluster(Cluster):
@@ -175,7 +178,7 @@
             if at is None or at is root or at.relay.parent is None:
                 break
             at = by_ip.get(at.relay.parent.ip)
-        return at is root and self.now_s - node.relay.beat_s < relay.HOLD_S
+        return at is root and self.now_s - node.relay.subscription.beat_s < HOLD_S
 
     def look(self) -> None:
         """One instant: bounds, and that nobody goes back to a list of an earlier root's."""
@@ -282,9 +285,7 @@
 
     async def play(self) -> None:
         cluster = self.cluster
-        for machine in cluster.machines:
-            cluster.start(*machine)
-        await cluster.until(lambda: cluster.root is not None and len(cluster.depths()) == len(cluster.edges) > 0)
+        await cluster.start_tree()
         cluster.order()
         await cluster.known_by_all()
         cluster.poll(5)
@@ -326,8 +327,8 @@
 @contextlib.contextmanager
 def no_epochs() -> Iterator[None]:
     """Nobody looks at the epoch of what it is told."""
-    with (mock.patch.object(relay.Relay, "fenced", lambda self, link, epoch: False),
-          mock.patch.object(relay.Relay, "see", lambda self, epoch: setattr(self, "epoch", max(self.epoch, epoch)))):
+    with (mock.patch.object(EpochFence, "rejects", lambda self, link, epoch: False),
+          mock.patch.object(EpochFence, "see", lambda self, epoch: setattr(self, "epoch", max(self.epoch, epoch)))):
         yield
 
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -14,8 +14,9 @@
 from cypressbeam.agreement import DEAD_S
 from cypressbeam.chain import Tell, View, ip_of
 from cypressbeam.members import ADD, REMOVE, REPLACE, Change, Known, judge
-from lab import histories, repair, turnover
-from lab.plans import Step
+from lab import repair, turnover
+from lab.histories import callers
+from lab.histories.plans import Step
 from lab.simulation import Disk
 from lab.system import Machine
 from lab.turnover import Turnover
@@ -74,11 +75,11 @@
 
 def ordered(world: Turnover) -> bytes:
     """A configuration that must be taken; its body."""
-    world.call("x", "replace")
-    ident = world.open["x"]
-    world.run(world.now_s + histories.PATIENCE_S + 1.0)
-    assert world.calls[ident].status == 200
-    return world.calls[ident].body
+    world.callers.call("x", "replace")
+    ident = world.callers.open["x"]
+    world.run(world.now_s + callers.PATIENCE_S + 1.0)
+    assert world.callers.calls[ident].status == 200
+    return world.callers.calls[ident].body
 
 
 def asks(world: Turnover, kind: int, old: str, new: str, base: str, for_s: float = 6.0) -> int:
@@ -233,11 +234,11 @@
     world.run(world.now_s + 2.0)
     assert asks(world, ADD, "", "d", "abc") == 0 and group_of(world) == "abc"
     for kind in ("replace", "read"):
-        world.open.pop("x", None)
-        world.call("x", kind)
-        ident = world.open["x"]
-        world.run(world.now_s + histories.PATIENCE_S)
-        assert world.calls[ident].status == 0
+        world.callers.open.pop("x", None)
+        world.callers.call("x", kind)
+        ident = world.callers.open["x"]
+        world.run(world.now_s + callers.PATIENCE_S)
+        assert world.callers.calls[ident].status == 0
     assert not any(keeper.root for keeper in world.keepers.values())
 
 
@@ -275,7 +276,7 @@
     assert all(node.relay.revision == taken for node in cluster.edges)
     cluster.order()
     assert await cluster.known_by_all() < 3.0 and cluster.revision == taken + 1
-    assert all(node.relay.body == cluster.configuration(taken + 1) for node in cluster.edges)
+    assert all(node.relay.configuration.body == cluster.configuration(taken + 1) for node in cluster.edges)
 
 
 def test_a_machine_is_replaced_at_another_address_and_then_a_second_loss_is_borne() -> None:
@@ -311,7 +312,7 @@
         node = cluster.newest()
         assert node.core is not None
         cluster.at(node, node.core.on_core, frames.Order(ident, node.settings.ip, 0, body))
-        if await cluster.until(lambda: all(node.relay.body == body for node in cluster.edges), 0.5) < 0.5:
+        if await cluster.until(lambda: all(node.relay.configuration.body == body for node in cluster.edges), 0.5) < 0.5:
             return
     raise AssertionError({node.settings.node: node.relay.revision for node in cluster.edges})
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -76,9 +76,7 @@
 
 async def lose_all_power(cluster: Cluster, chance: random.Random) -> float:
     """Seconds from the start of the last machine until all know the configuration and a list again."""
-    for machine in cluster.machines:
-        cluster.start(*machine)
-    await cluster.until(lambda: cluster.root is not None and len(cluster.depths()) == len(cluster.edges) > 0)
+    await cluster.start_tree()
     cluster.order()
     await cluster.known_by_all()
     for machine in cluster.machines:
@@ -90,7 +88,7 @@
     away = [chance.uniform(1.1, 1.75) for _ in cluster.machines]
     await asyncio.gather(*(back(machine, after_s) for machine, after_s in zip(cluster.machines, away, strict=True)))
     return await cluster.until(lambda: len(cluster.edges) == 24 and all(
-        node.relay.revision and node.relay.place is not None for node in cluster.edges))
+        node.relay.revision and node.relay.registration.assignment is not None for node in cluster.edges))
 
 
 def test_after_a_loss_of_all_power_everybody_knows_the_state_soon_after_the_last_machine_is_back() -> None:
