Leave a server for one fault only while faults are rare

With a quarter of all answers spoilt 13 of 15 were always left out, and the others had no room. Change: while more than half of the servers have over a tenth of faults by plain count, health goes by plain success shares.

--- a/pepperrelay/balancer.py
+++ b/pepperrelay/balancer.py
@@ -10,6 +10,7 @@
 import hashlib
 import math
 import random
+from statistics import median_low
 
 from pepperrelay import interface as it
 from pepperrelay.interface import Ending, Repeat
@@ -39,6 +40,9 @@
 # a time-out, which load brings too) must count for more; trials then wait twice as long after each, so often.
 FAULT_NEWEST = 0.6
 TRIAL_DOUBLINGS = 3
+# But only while half of the servers have at most this share of faults, by plain count: where most fail now and then,
+# one fault does not tell one from another, and to leave each of them for it would leave nearly all.
+RARE_FAULTS = 0.1
 FAULTS = frozenset({Ending.ERROR, Ending.RESET, Ending.CONNECT_FAILED})
 # A refused client is asked to stay away for at least so long (microseconds).
 LEAST_ADVICE_US = 50_000
@@ -302,6 +306,8 @@
         self.usual_latency_us: float | None = None
         self.queue = 0.0
         self.success = 1.0
+        self.plain_success = 1.0  # with all endings of one weight
+        self.fault_share = 0.0  # the same
         self.trial_us = 0
         self.faults = 0  # in a row
         self.rest_us = TRIAL_US  # before it is tried again when unwell
@@ -397,6 +403,7 @@
         self.fleet_latency_us = self.fleet_service_us = 1.0
         self.fleet_pace_us = 0.0
         self.crowd_us = math.inf
+        self.faults_are_rare = True
         self.spread = 1.0
         self.demand = Demand([kind.name for kind in settings.classes])
         self.earns = {kind.name: 1.0 for kind in settings.classes}
@@ -658,6 +665,8 @@
         if event.ending in (Ending.CANCELLED, Ending.MOOT):
             return
         ok = event.ending is Ending.OK
+        server.plain_success = smooth(server.plain_success, float(ok), SERVER_NEWEST)
+        server.fault_share = smooth(server.fault_share, float(event.ending in FAULTS), SERVER_NEWEST)
         if self.sharers >= MANY_SHARE and event.ending in FAULTS:
             self.fault(server)
         else:
@@ -709,7 +718,7 @@
         if wait_us >= request.arrived.give_up_at_us - self.now_us:
             return self.end(request)
         # Health of the servers it could go to: a dead part of the fleet must not stop retries on the rest.
-        health = mean([s.success for s in self.pool if not s.unwell]) or 0.0
+        health = mean([self.success_of(s) for s in self.pool if not s.unwell]) or 0.0
         if health < WELL_FLEET:
             self.log(f"retries off: {health:.0%} of recent attempts on usable servers succeed", "retries")
             return self.end(request)
@@ -803,7 +812,7 @@
         speed = 1.0
         if warmth >= 1.0 and server.service_us:
             speed = self.fleet_service_us / server.service_us
-        return warmth * min(max(speed, 1.0 / SPEED_BOUND), SPEED_BOUND) * server.success
+        return warmth * min(max(speed, 1.0 / SPEED_BOUND), SPEED_BOUND) * self.success_of(server)
 
     def weigh(self) -> None:
         """The weights by which servers are drawn, once a housekeeping."""
@@ -942,7 +951,15 @@
         mu_us /= self.warmth(server)
         server.base_us, server.load, server.work_us = r_us - mu_us, load, mu_us
         server.rank = server.rank_with(self.crossing_load(server))
-        server.unwell = server.success < WELL_SERVER
+        server.unwell = self.success_of(server) < WELL_SERVER
+
+    def success_of(self, server: Server) -> float:
+        """The share of its attempts that succeed, lately; a fault counts for more while faults are rare.
+
+        Trouble: all servers failed a quarter of their requests; 13 of 15 were always left out for their last fault,
+        and the proxies refused over half of the requests, for the other two had no room.
+        """
+        return server.success if self.faults_are_rare else server.plain_success
 
     def refresh_all(self) -> None:
         """Fleet means (unheard servers take them), percentiles and every rank, once a housekeeping."""
@@ -953,6 +970,7 @@
         for name, seen in self.percentiles.items():
             if tail_us := seen.tail(few=self.sharers >= MANY_SHARE):
                 self.patience_us[name] = max(tail_us, PADDING * seen.above(0.5))
+        self.faults_are_rare = not self.pool or median_low(s.fault_share for s in self.pool) <= RARE_FAULTS
         for server in self.pool:
             self.refresh(server)
         self.weigh()
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -260,6 +260,34 @@
     assert d.balancer.due(server)
 
 
+def after_faults(among: int, of: int) -> list[bool]:
+    """Which servers are left out after some have answered twice and failed once each, where many proxies share them."""
+    d = driver(*(f"s{number}" for number in range(of)), proxies=40)
+    for number in range(among):
+        server = d.balancer.servers[f"s{number}"]
+        for ending in (pr.Ending.OK, pr.Ending.OK, pr.Ending.RESET):
+            d.balancer.observe(d.balancer.requests[d.arrive(SAFE)], server,
+                               pr.AttemptEnded("r", 0, server.entry.server, ending, 10 * MS, False, None))
+    d.balancer.refresh_all()
+    return [server.unwell for server in d.balancer.servers.values()]
+
+
+def test_one_fault_is_enough_to_leave_a_server_but_not_where_most_servers_fail() -> None:
+    assert after_faults(1, 4) == [True, False, False, False]
+    assert after_faults(2, 4) == [True, True, False, False]
+    assert after_faults(3, 4) == [False] * 4
+
+
+def test_where_most_servers_fail_those_that_fail_always_are_left_out_all_the_same() -> None:
+    d = driver("s0", "s1", "s2", proxies=40)
+    for name, endings in (("s0", "x" * 5), ("s1", "ooox" * 4), ("s2", "ooox" * 4)):
+        for ending in endings:
+            d.balancer.observe(d.balancer.requests[d.arrive(SAFE)], d.balancer.servers[name], pr.AttemptEnded(
+                "r", 0, name, pr.Ending.OK if ending == "o" else pr.Ending.RESET, 10 * MS, False, None))
+    d.balancer.refresh_all()
+    assert [server.unwell for server in d.balancer.servers.values()] == [True, False, False]
+
+
 def test_silent_server_is_left_out() -> None:
     """Attempts with no answer yet are evidence: the longer they are out, the longer the expected delay."""
     d = driver("s0", "s1")
