--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -14,6 +14,7 @@
 from mallowworks.evidence import CHECKS, begins_an_answer, begun_at_the_end, flaw, holds_an_answer
 from mallowworks.evidence import Asked as Wanted
 from mallowworks.http import Answer
+from mallowworks.upstream import DOUBT_S
 
 pytestmark = pytest.mark.usefixtures("quiet")
 
@@ -123,6 +124,36 @@
     assert got == ((200, b"body") if framing == "close" and how is None else (502, b""))
 
 
+@pytest.mark.parametrize("asks", [True, False])
+def test_who_asks_for_a_range_gets_a_part(asks: bool) -> None:
+    async def scenario(world: World) -> None:
+        client = world.client()
+        client.asked.append(Asked("r", "book"))
+        lines = b"Range: bytes=0-1\r\nHost" if asks else b"Host"
+        client.wire.feed(Asked("r", "book").message().replace(b"Host", lines))
+        await world.settle()
+        (sending,) = world.fresh
+        sending.wire.feed(answer(sending, 206, "Content-Range: bytes 0-1/9\r\n", body=b"ab"))
+        await world.settle()
+        assert [status for status, _, _ in client.answers()] == [206 if asks else 502]
+    play(scenario)
+
+
+@pytest.mark.parametrize(("body", "framing", "waits"), [
+    (b"body", "length", False), (b"ends with HT", "length", True), (b"ends with HT", "chunks", False)])
+def test_only_an_answer_whose_end_is_in_doubt_waits_and_for_a_moment(body: bytes, framing: str, waits: bool) -> None:
+    async def scenario(world: World) -> None:
+        client = world.client()
+        client.ask(Asked("r", "book"))
+        await world.settle()
+        (sending,) = world.fresh
+        sending.wire.feed(answer(sending, body=body, framing=framing))
+        assert bool(client.answers()) != waits
+        await world.settle(DOUBT_S + 0.005)
+        assert client.answers()[0][2] == body and world.pooled(sending.wire)
+    play(scenario)
+
+
 def test_the_log_says_which_check_failed(caplog: pytest.LogCaptureFixture) -> None:
     with caplog.at_level(logging.WARNING):
         played(lambda sending: [answer(sending, more="Content-Encoding: gzip\r\n")], None, False)
