Refuse configurations that no node could carry out, or that readers differ on

Cause, by trying some seventy odd forms of CBOR against `configuration.read`: a map with a key twice was taken (the last one counted), so was a number of thousands of digits as `tries` or `rank` (every edge node's table then raised, and served the version before while it told of the new one), weights whose sum is infinite (each request on that route raised), a host with a port (never matched by any request: 404 though the route is there), and two routes that differ in a host's port or in blanks around it. A refusal that quoted more than 64 kB of the order could not be packed: the order was never answered, and what the head was to do after it in the same turn was dropped. A version of 19 digits, which the check allows, could not be built on.

Ruled out: trailing bytes, items of unknown length, NaN and infinite figures, numbers as booleans or floats, negative ones, cyclic and deep items, huge declared lengths, odd tags; all were refused or read as meant before.

Change: each of these is refused with 400; hosts are compared as requests are matched. Edge nodes read what was committed as before, also what an earlier program took and this one refuses. Refusals are cut to 300 characters.

--- a/cypressbeam/chain.py
+++ b/cypressbeam/chain.py
@@ -20,6 +20,8 @@
 RESEND_S = 0.3
 #: Orders that may wait at the head; more are told to come back.
 MOST_WAITING = 64
+#: Characters of an answer's text: it may hold what an operator has sent, and a frame's texts have two bytes of length.
+MOST_TEXT = 300
 
 
 @lru_cache(maxsize=256)
@@ -308,4 +310,4 @@
 
 
 def answer(order: frames.Order, status: int, text: str) -> Tell:
-    return Tell(order.origin, frames.Outcome(order.ident, status, text))
+    return Tell(order.origin, frames.Outcome(order.ident, status, text[:MOST_TEXT]))
--- a/cypressbeam/configuration.py
+++ b/cypressbeam/configuration.py
@@ -11,8 +11,9 @@
 import msgspec
 
 Mode = Literal["idempotent", "effectful", "ingest"]
-#: Between nodes and on disk a version's number has eight bytes, with a sign.
-MOST_REVISION = 2 ** 63 - 1
+#: Between nodes and on disk a version's number has eight bytes, with a sign. Other whole numbers have the same bound:
+#: one of thousands of digits can't even be written as text.
+MOST_REVISION = MOST_WHOLE = 2 ** 63 - 1
 
 
 class Invalid(Exception):
@@ -76,12 +77,20 @@
     return hashlib.sha256(body).digest()
 
 
-def decode(body: bytes) -> object:
-    """One whole CBOR item and nothing behind it. Raises Invalid."""
+def host_name(text: str) -> str:
+    """A host as routes and requests are compared by it: in small letters and without a port."""
+    name = text.strip().lower()
+    return name if name.endswith("]") else name.rpartition(":")[0] or name
+
+
+def decode(body: bytes, committed: bool = False) -> object:
+    """One whole CBOR item and nothing behind it, with no key twice in a map: readers differ in which one counts. What
+    an earlier program has committed may have some: the last one counts. Raises Invalid, whatever the bytes are: the
+    head judges them between the writes of other orders."""
     stream = io.BytesIO(body)
     try:
-        value: object = cbor2.load(stream)
-    except (cbor2.CBORError, ValueError, RecursionError, OverflowError, TypeError) as err:
+        value: object = cbor2.load(stream, allow_duplicate_keys=committed)
+    except Exception as err:
         raise Invalid(f"no CBOR: {err}") from None
     if stream.tell() != len(body):
         raise Invalid("bytes behind the CBOR item")
@@ -90,35 +99,43 @@
 
 def read(body: bytes) -> Configuration:
     """A configuration from its bytes, checked. Raises Invalid."""
-    configuration = read_committed(body)
+    configuration = convert(decode(body))
     check(configuration)
     return configuration
 
 
 def read_committed(body: bytes) -> Configuration:
-    """One that the core has checked before it was committed: only its form is read again. Raises Invalid."""
+    """One that the core has checked before it was committed, maybe by another program: only its form is read again.
+    Raises Invalid."""
+    return convert(decode(body, committed=True))
+
+
+def convert(document: object) -> Configuration:
+    """Raises Invalid for what has another form."""
     try:
-        return msgspec.convert(decode(body), Configuration)
-    except msgspec.ValidationError as err:
+        return msgspec.convert(document, Configuration)
+    except (msgspec.ValidationError, ValueError, OverflowError, RecursionError) as err:
         raise Invalid(str(err)) from None
 
 
 def check(configuration: Configuration) -> None:
     """Raises Invalid for what PROTOCOL.md calls invalid, and for what could not be carried out."""
     if not 0 < configuration.revision <= MOST_REVISION:
-        raise Invalid(f"revision: 1 to {MOST_REVISION} is wanted, not {configuration.revision}")
+        raise Invalid(f"revision: 1 to {MOST_REVISION} is wanted")
     limits = configuration.constraints
     # Each by itself: what is no number compares with nothing, and would pass for the least of them.
     if not all(0 < figure < math.inf for figure in (limits.header_max_bytes, limits.body_max_bytes,
                                                     limits.header_wait_ms, limits.quiet_ms)):
         raise Invalid("constraints: each must be above 0, and a number")
+    if max(limits.header_max_bytes, limits.body_max_bytes) > MOST_WHOLE:
+        raise Invalid(f"constraints: at most {MOST_WHOLE} bytes")
     services = {plant.label for plant in configuration.plants}
     if len(services) != len(configuration.plants):
         raise Invalid("plants: two have the same label")
     places: dict[tuple[str, str], str] = {}
     for channel in configuration.channels:
         check_channel(channel, services)
-        place = (channel.host.lower(), channel.prefix)
+        place = (host_name(channel.host), channel.prefix)
         if place in places:
             raise Invalid(f"channels[{channel.label}]: host and prefix are those of {places[place]}")
         places[place] = channel.label
@@ -126,18 +143,19 @@
 
 def check_channel(channel: Channel, services: set[str]) -> None:
     where = f"channels[{channel.label}]"
-    if not channel.host:
+    if not host_name(channel.host):
         raise Invalid(f"{where}.host: a name is wanted")
     if not (channel.prefix.startswith("/") and channel.prefix.endswith("/")):
         raise Invalid(f"{where}.prefix: must begin and end with a slash, not {channel.prefix!r}")
     if not 0 < channel.cutoff_ms < 1e9 or not 0 <= channel.setpoint_ms < 1e9:
         raise Invalid(f"{where}: cutoffMs must be above 0, setpointMs at least 0")
-    if channel.tries < 0 or channel.rank < 0:
-        raise Invalid(f"{where}: tries and rank must be at least 0")
+    if not (0 <= channel.tries <= MOST_WHOLE and 0 <= channel.rank <= MOST_WHOLE):
+        raise Invalid(f"{where}: tries and rank must be 0 to {MOST_WHOLE}")
     if (channel.plant is None) == (not channel.allocation):
         raise Invalid(f"{where}: either plant or allocation is wanted")
     named = {channel.plant} if channel.plant is not None else {share.plant for share in channel.allocation}
     if unknown := named - services:
         raise Invalid(f"{where}: unknown service {min(map(str, unknown))}")
-    if any(not 0 <= share.gain < float("inf") for share in channel.allocation) or not channel.shares():
-        raise Invalid(f"{where}.allocation: the weights must be at least 0 and not add up to 0")
+    total = sum(share.gain for share in channel.shares())
+    if any(not share.gain >= 0 for share in channel.allocation) or not 0 < total < math.inf:
+        raise Invalid(f"{where}.allocation: the weights must be at least 0, not add up to 0, and their sum a number")
--- a/cypressbeam/control.py
+++ b/cypressbeam/control.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from cypressbeam import frames
+from cypressbeam.configuration import MOST_REVISION
 from cypressbeam.members import KINDS
 from cypressbeam.survey import JSON, STATE, Survey
 from mallowworks.carrier import Clock
@@ -94,7 +95,7 @@
         if message.method != b"POST":
             raise BadRequest(405, "Configuration.Replace is a POST", b"POST")
         given = [value for lower, _, value in message.headers if lower == b"base-revision"]
-        if len(given) != 1 or not given[0].isdigit() or len(given[0]) > 18:
+        if len(given) != 1 or not given[0].isdigit() or len(given[0]) > 19 or int(given[0]) > MOST_REVISION:
             raise BadRequest(400, "Base-Revision: the number of a version is needed")
         # Whether it is valid says the head, which knows whether it was taken: this node's program may be another one.
         ident = self.chance.getrandbits(63)
--- a/cypressbeam/routing.py
+++ b/cypressbeam/routing.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from functools import lru_cache
 
-from cypressbeam.configuration import Channel, Configuration
+from cypressbeam.configuration import Channel, Configuration, host_name
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,16 +56,13 @@
         """By service: its kinds of requests, and a route of each."""
         for channel in configuration.channels:
             route = make_route(channel)
-            self.routes.setdefault(channel.host.lower(), {})[channel.prefix] = route
+            self.routes.setdefault(host_name(channel.host), {})[channel.prefix] = route
             for service in route.services:
                 self.kinds.setdefault(service, {}).setdefault(route.kind, channel)
 
     def find(self, host: str, path: str) -> Route | None:
         """The route for a Host header (a port in it does not count) and a path without its query."""
-        name = host.strip().lower()
-        if not name.endswith("]"):
-            name = name.rpartition(":")[0] or name
-        of_host = self.routes.get(name)
+        of_host = self.routes.get(host_name(host))
         if of_host is None:
             return None
         cut = path.rfind("/")
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -46,8 +46,8 @@
 
 # -- configurations ------------------------------------------------------------------------------------------
 
-odd = st.one_of(st.none(), st.booleans(), st.integers(-2, 2 ** 70), st.floats(), st.text(max_size=5),
-                st.binary(max_size=5), st.just([]), st.just({}), st.just([{}]))
+odd = st.one_of(st.none(), st.booleans(), st.integers(-2, 2 ** 70), st.just(10 ** 5000), st.floats(),
+                st.text(max_size=5), st.binary(max_size=5), st.just([]), st.just({}), st.just([{}]))
 
 
 @st.composite
--- /dev/null
+++ b/tests/test_validity.py
@@ -0,0 +1,193 @@
+"""What is no valid configuration is refused, whichever way and whenever it comes; what is valid can be carried out."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+from unittest.mock import Mock
+
+import cbor2
+import pytest
+
+from cypressbeam import configuration, frames
+from cypressbeam.chain import MOST_TEXT, Member, Sync, Tell, View
+from cypressbeam.control import Control
+from cypressbeam.core import revision_of
+from cypressbeam.routing import Table
+from lab.up import HOST, demo_configuration
+from mallowworks.messages import BadRequest, Message
+from tests.loopback import run
+
+ALONE = View(256, ("a/1",), ("a/1",))
+IN_FORCE, NEXT = 7, 9
+Document = dict[str, Any]
+
+
+def with_route(revision: int = NEXT, **changes: Any) -> Document:
+    made = demo_configuration(revision)
+    made["channels"][0] |= changes
+    return made
+
+
+def split(*gains: float, plants: tuple[str, ...] = ("finder", "booker")) -> Document:
+    made = with_route(allocation=[{"plant": plant, "gain": gain} for plant, gain in zip(plants, gains, strict=True)])
+    del made["channels"][0]["plant"]
+    return made
+
+
+def another_route(**changes: Any) -> Document:
+    made = demo_configuration(NEXT)
+    made["channels"].append(made["channels"][0] | {"label": "added"} | changes)
+    return made
+
+
+def revised(revision: Any) -> bytes:
+    return cbor2.dumps(demo_configuration(revision))
+
+
+def pairs(*items: tuple[str, Any]) -> bytes:
+    """A map with these keys, also one that is there twice."""
+    return bytes([0xa0 + len(items)]) + b"".join(cbor2.dumps(key) + cbor2.dumps(value) for key, value in items)
+
+
+DEMO = cbor2.dumps(demo_configuration(NEXT))
+ITEMS = tuple(demo_configuration(NEXT).items())
+#: The base that an order names, and its body, by the way in which it is bad.
+WAYS: dict[str, tuple[int, bytes]] = {
+    "cut_short": (IN_FORCE, DEMO[:-40]),
+    "unknown_service": (IN_FORCE, cbor2.dumps(with_route(plant="nobody"))),
+    "same_place": (IN_FORCE, cbor2.dumps(another_route())),
+    "no_weight": (IN_FORCE, cbor2.dumps(split(0, 0))),
+    "no_timeout": (IN_FORCE, cbor2.dumps(with_route(cutoffMs=0))),
+    "old_version": (IN_FORCE, cbor2.dumps(with_route(IN_FORCE - 1, tries=3))),
+    "same_version": (IN_FORCE, cbor2.dumps(with_route(IN_FORCE, tries=3))),
+    "stale_match": (IN_FORCE - 2, cbor2.dumps(with_route(tries=3))),
+    "shared_key": (IN_FORCE, pairs(("revision", NEXT + 1), *ITEMS)),
+}
+VALID = cbor2.dumps(with_route(tries=4))
+
+
+def head() -> Member:
+    """Head and tail in one, with versions 5 and 7 taken."""
+    made = Member("a", ALONE, revision_of, configuration.digest, active=True)
+    for base, revision in ((0, IN_FORCE - 2), (IN_FORCE - 2, IN_FORCE)):
+        assert send(made, base, cbor2.dumps(demo_configuration(revision))) == {}
+        sync(made)
+    return made
+
+
+def send(member: Member, base: int, body: bytes, ident: int = 1) -> dict[int, int]:
+    """What orders are answered at once."""
+    return told(member.order(frames.Order(ident, "client", base, body), 0.0))
+
+
+def sync(member: Member) -> dict[int, int]:
+    assert member.syncing is not None
+    return told(member.synced(member.syncing, 0.0))
+
+
+def told(actions: list[Any]) -> dict[int, int]:
+    return {one.frame.ident: one.frame.status for one in actions
+            if isinstance(one, Tell) and isinstance(one.frame, frames.Outcome)}
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_each_way_of_a_bad_configuration_is_refused_alone_in_a_race_and_when_it_comes_again(way: str) -> None:
+    base, body = WAYS[way]
+    alone = head()
+    for ident in (1, 2):  # the answer to the first was lost
+        assert send(alone, base, body, ident)[ident] in (400, 412) and alone.syncing is None
+    for bad_first in (True, False):
+        member = head()
+        answers = send(member, base, body, 1) if bad_first else {}
+        answers |= send(member, IN_FORCE, VALID, 2) | send(member, base, body, 3)
+        assert member.syncing is not None and member.syncing.body == VALID and 2 not in answers
+        answers |= sync(member) | send(member, base, body, 4) | send(member, IN_FORCE, VALID, 5)
+        assert answers.pop(2) == answers.pop(5) == 200
+        assert set(answers) == {1, 3, 4} if bad_first else {3, 4}
+        assert set(answers.values()) <= {400, 412} and member.revision == NEXT
+        assert configuration.digest(body) not in member.taken.values()
+
+
+@pytest.mark.parametrize(("body", "told"), [
+    (pairs(*ITEMS, ("revision", NEXT)), "Duplicate"),
+    (cbor2.dumps(with_route()).replace(cbor2.dumps("tries") + b"\x02", cbor2.dumps("rank") + b"\x02"), "Duplicate"),
+    (revised(math.nan), "revision"), (revised(9.0), "revision"), (revised(True), "revision"),
+    (revised(-1), "revision"), (revised(10 ** 5000), "revision"), (cbor2.dumps(with_route(tries=10 ** 5000)), "tries"),
+    (cbor2.dumps(with_route(rank=2 ** 63)), "rank"), (cbor2.dumps(with_route(cutoffMs=math.nan)), "cutoffMs"),
+    (cbor2.dumps(with_route(cutoffMs=True)), "cutoffMs"), (cbor2.dumps(with_route(cutoffMs=10 ** 400)), "range"),
+    (cbor2.dumps(with_route(prefix="")), "slash"), (cbor2.dumps(with_route(prefix="/find")), "slash"),
+    (cbor2.dumps(with_route(host=" ")), "host"), (cbor2.dumps(with_route(plant="")), "unknown service"),
+    (cbor2.dumps(another_route(host=HOST.upper())), "host and prefix"),
+    (cbor2.dumps(another_route(host=f"{HOST}:80")), "host and prefix"),
+    (cbor2.dumps(another_route(host=f" {HOST} ")), "host and prefix"),
+    (cbor2.dumps(split(1e308, 1e308)), "weights"), (cbor2.dumps(split(math.nan, 1)), "weights"),
+    (cbor2.dumps(split(math.inf, 1)), "weights"), (cbor2.dumps(split(1, 0, plants=("finder", "nobody"))), "unknown"),
+    (cbor2.dumps(with_route(allocation=[{"plant": "finder", "gain": 1}])), "either plant or allocation"),
+    (cbor2.dumps(with_route(plant=None)), "either plant or allocation"),
+    (cbor2.dumps(with_route() | {"plants": demo_configuration()["plants"] * 2}), "same label"),
+    (cbor2.dumps(with_route() | {"constraints": {"bodyMaxBytes": 2 ** 63}}), "constraints"),
+    (DEMO + b"\xf6", "behind"), (b"\xbf" + DEMO[1:], "CBOR"), (b"\x81" * 100_000, "CBOR"),
+    (b"\x9b" + b"\xff" * 8, "CBOR"), (cbor2.dumps(cbor2.CBORTag(5, [2 ** 62, 3])), "CBOR"),
+    (b"\xd8\x1c\x81\xd8\x1d\x00", "object")], ids=lambda value: str(value)[:30])
+def test_odd_bytes_are_refused(body: bytes, told: str) -> None:
+    with pytest.raises(configuration.Invalid, match=told):
+        configuration.read(body)
+
+
+@pytest.mark.parametrize("body", [
+    b"\xbf" + DEMO[1:] + b"\xff", DEMO.replace(cbor2.dumps("find"), b"\x7f\x62fi\x62nd\xff", 1),
+    DEMO.replace(cbor2.dumps("revision") + b"\x09", cbor2.dumps("revision") + b"\xc2\x41\x09"),
+    cbor2.dumps(cbor2.CBORTag(55799, demo_configuration(NEXT)))], ids=["map", "text", "number", "tag"])
+def test_other_forms_of_the_same_are_taken(body: bytes) -> None:
+    """Of a length that is not told before, a small number written as a large one, and a map marked as CBOR."""
+    assert configuration.read(body) == configuration.read(DEMO) and body != DEMO
+
+
+def test_what_an_earlier_program_has_committed_is_served_though_this_one_would_refuse_it() -> None:
+    """Else edge nodes of two programs would have different configurations in force."""
+    for body in (pairs(*ITEMS, ("revision", NEXT + 1)), cbor2.dumps(another_route(host=f"{HOST}:80"))):
+        assert Table(configuration.read_committed(body)).find(HOST, "/find/1") is not None
+
+
+def test_a_route_whose_host_has_a_port_is_served() -> None:
+    table = Table(configuration.read(cbor2.dumps(another_route(host="Shop.example:8443"))))
+    assert all(table.find(host, "/find/1") for host in ("shop.example", "shop.example:80", "SHOP.example:8443"))
+
+
+@pytest.mark.parametrize("body", [cbor2.dumps(with_route(plant="n" * 100_000)),
+                                  cbor2.dumps(with_route(label="\u00e9" * 70_000, cutoffMs=0)),
+                                  cbor2.dumps(with_route(mode="m" * 100_000))], ids=["service", "label", "mode"])
+def test_a_refusal_fits_into_its_frame_whatever_was_sent(body: bytes) -> None:
+    """A text has two bytes of length: the answer could not be sent, nor what the head was to do after it."""
+    member = head()
+    send(member, IN_FORCE, VALID, 1)
+    send(member, NEXT, body, 2)
+    send(member, NEXT, cbor2.dumps(with_route(NEXT + 1, tries=5)), 3)
+    assert member.syncing is not None
+    actions = member.synced(member.syncing, 0.0)
+    assert told(actions) == {1: 200, 2: 400} and isinstance(actions[-1], Sync)
+    for action in actions:
+        if isinstance(action, Tell) and isinstance(action.frame, frames.Outcome):
+            assert action.frame.pack() and len(action.frame.text) <= MOST_TEXT
+
+
+@pytest.mark.parametrize(("base", "taken"), [
+    (str(configuration.MOST_REVISION), True), ("0", True), (str(configuration.MOST_REVISION + 1), False),
+    ("9" * 5000, False), ("-1", False), ("1.0", False), ("", False)], ids=lambda value: str(value)[:25])
+def test_any_version_that_may_be_in_force_can_be_built_on(base: str, taken: bool) -> None:
+    passed: list[frames.Frame] = []
+    message = Message(b"POST", b"/-/Configuration.Replace",
+                      [(b"base-revision", b"Base-Revision", base.encode())], b"x", True, 0)
+
+    async def scenario() -> None:
+        control = Control("10.0.0.1", lambda: ("10.0.0.2",), lambda ip, frame: passed.append(frame), Mock())
+        control.replace(message, Mock())
+        control.client_gone(next(iter(control.calls)))
+    if taken:
+        run(scenario())
+        assert isinstance(passed[0], frames.Order) and passed[0].base == int(base)
+        assert passed[0].pack()  # it has room for that
+    else:
+        with pytest.raises(BadRequest):
+            run(scenario())
