--- /dev/null
+++ b/tests/parts.py
@@ -0,0 +1,73 @@
+"""Parts of a node for tests of single rules: a relay whose clock stands still, and links that keep what is sent."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any, cast
+
+from cypressbeam import frames
+from cypressbeam.peers import SMALL, Link, Peers
+from cypressbeam.relay import Relay
+from cypressbeam.settings import Settings, parse
+
+ME, ROOT, OTHER = "10.0.0.1", "10.0.0.9", "10.0.0.8"
+SETTINGS: Settings = parse(f"node=n\nip={ME}\nzone=a\ninternalPorts=1,2\nseedPeers=10.0.0.7:8649\nbootstrap=true\n",
+                           "boot.conf")
+#: Epochs of views, one after another.
+FIRST, SECOND, THIRD, FOURTH = 256, 512, 768, 1024
+
+
+class Wire(Link):
+    """A connection that carries nothing, and keeps what was to go over it."""
+
+    def __init__(self, peers: Peers, ip: str) -> None:
+        super().__init__(peers, ip)
+        self.sent: list[frames.Frame] = []
+
+    def send(self, frame: frames.Frame) -> None:
+        self.sent.append(frame)
+
+    def send_packed(self, data: bytes) -> None:
+        _, kind = frames.HEAD.unpack_from(data)
+        self.sent.append(frames.unpack(kind, data[frames.HEAD.size:]))
+
+    def kinds(self) -> list[str]:
+        return [type(frame).__name__ for frame in self.sent]
+
+
+class Part:
+    """A node's relay, and whom it writes to by address. To be made within a running loop."""
+
+    def __init__(self) -> None:
+        self.now_s = 100.0
+        self.wires: dict[str, Wire] = {}
+        self.peers = Peers(ME, 1, lambda link, frame: None, lambda link: None, 1000.0)
+        self.peers.to = self.wire  # type: ignore[method-assign]
+        self.relay = Relay(SETTINGS, self.peers, frames.FRONT)
+        self.relay.loop = cast(Any, SimpleNamespace(time=lambda: self.now_s, call_later=lambda *_: None))
+
+    def wire(self, ip: str, lane: int = SMALL) -> Wire:
+        return self.wires.setdefault(ip, Wire(self.peers, ip))
+
+    def place(self, epoch: int, parent: str = ROOT) -> None:
+        self.relay.on_placed(self.wire(ROOT), frames.Place(epoch, (ROOT,), (parent,), (), (), 3, 3, 0, (ROOT, OTHER)))
+
+    def beat(self, epoch: int, number: int = 1) -> None:
+        self.relay.on_beat(self.wire(ROOT), frames.Beat(7, 0, 0, 3, number, epoch))
+
+    def under(self, epoch: int) -> Part:
+        """Fed by the root of that epoch; what was sent until now does not count."""
+        self.place(epoch)
+        self.beat(epoch)
+        for wire in self.wires.values():
+            wire.sent.clear()
+        return self
+
+    def lead(self, epoch: int) -> Part:
+        self.relay.become_root(7, epoch)
+        return self
+
+    def child(self, epoch: int, ip: str = "10.0.0.20", revision: int = 0) -> Wire:
+        link = self.wire(ip)
+        self.relay.on_attach(link, frames.Attach(ip, revision, 0, 0, epoch))
+        return link
--- a/tests/test_added_routes.py
+++ b/tests/test_added_routes.py
@@ -121,6 +121,7 @@
         relay.bodies.put(old)
         relay.on_news(link, frames.News(4, digest(old), 512))
         relay.on_news(link, frames.News(5, digest(old), 512))  # another one under the same number
+        assert relay.newest == (5, digest(new)) and not relay.fetching
         data = relay.bodies.brief(digest(old), digest(new))
         assert data
         relay.on_update(link, frames.Update(4, digest(old), digest(new), data, 768))
--- /dev/null
+++ b/tests/test_disk_rules.py
@@ -0,0 +1,258 @@
+"""Each rule of docs/design/disk.md by itself: a machine whose disk is an older copy, and the files of the state."""
+
+from __future__ import annotations
+
+import asyncio
+import sqlite3
+from collections.abc import Coroutine
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from cypressbeam import files, frames
+from cypressbeam.agreement import Keeper, StartAnew
+from cypressbeam.chain import Entry, View
+from cypressbeam.marks import Marks
+from cypressbeam.store import FILE, Store, StoreError
+from lab import histories
+from lab.histories import CLIENT
+from tests.core_parts import GROUP, VIEW, accept, echo, promise, pulse, quiet_world, told
+
+#: What b has told; each of the others lacks something of that.
+TOLD = pulse("b/0", incarnation=3, draw=9)
+LESS: dict[str, dict[str, Any]] = {
+    "a start": {"incarnation": 2}, "another start from the same copy": {"draw": 8}, "a promise": {"kept": 255},
+    "an entry": {"entry": 0}, "a view": {"held": 0}}
+
+
+@pytest.mark.parametrize("what", LESS)
+def test_who_tells_less_than_it_told_is_not_heard_and_learns_what_it_told(what: str) -> None:
+    world = quiet_world()
+    keeper, now_s = world.keepers["a"], world.now_s
+    echo(keeper, now_s, TOLD)
+    heard = keeper.heard["b"]
+    actions = echo(keeper, now_s + 0.2, replace(TOLD, number=5, **LESS[what]))
+    assert keeper.heard["b"] is heard and heard.at_s == now_s and keeper.refused == {"b/0"}
+    stale, answer = told(actions)
+    assert stale == frames.StaleDisk("b/0", 3, 9, 256, 256, 1) and answer.echo == 5
+    keeper.propose(now_s)
+    assert keeper.proposal is not None
+    less = promise("b/0", keeper.proposal.epoch)  # of an incarnation before all that were told
+    assert [type(frame) for frame in told(keeper.on_promise(less, now_s))] == [frames.StaleDisk]
+    assert not keeper.proposal.promises
+
+
+def test_the_word_of_a_member_that_is_refused_confirms_nothing() -> None:
+    world = quiet_world()
+    keeper = world.keepers["c"]
+    assert keeper.read(frames.Read(7, CLIENT), world.now_s)
+    keeper.refused.add("b/0")
+    assert keeper.on_confirmed(frames.Confirmed(256, 7, "b/0"), world.now_s) == []
+    keeper.refused.clear()
+    assert keeper.on_confirmed(frames.Confirmed(256, 7, "b/0"), world.now_s)
+
+
+def stale(name: str, number: int) -> frames.StaleDisk:
+    return frames.StaleDisk(name, 0, 0, 0, 256, number)
+
+
+def test_a_machine_judges_itself_by_its_own_disk() -> None:
+    for name, number, lost in (("a/0", 1, False), ("b/0", 9, False), ("a/0", 9, True)):
+        world = quiet_world()
+        keeper = world.keepers["a"]
+        keeper.on_stale(stale(name, number), world.now_s)
+        assert bool(keeper.lacks) is lost and keeper.stands() is not lost
+
+
+def test_a_machine_whose_disk_is_older_promises_takes_up_and_confirms_nothing() -> None:
+    world = quiet_world()
+    keeper, now_s = world.keepers["b"], world.now_s
+    keeper.lose("this disk is an older copy")
+    assert keeper.member is not None and keeper.member.sealed and not keeper.disk_works(now_s)
+    assert keeper.own_pulse(now_s).disk == 0
+    assert keeper.on_prepare(frames.Prepare(1024, "a/0"), now_s) == [] and keeper.promised == 256
+    assert keeper.on_accept(accept(1024), now_s) == []
+    assert keeper.on_confirm(frames.Confirm(256, 7, "c")) == []
+
+
+@pytest.mark.parametrize(("name", "entry", "held", "lost"), [
+    ("a/0", 2, 256, False), ("a/0", 3, 256, True), ("c/0", 1, 256, False), ("c/0", 2, 256, True),
+    ("c/0", 2, 512, False)])
+def test_within_an_epoch_the_numbers_of_the_chain_show_a_loss(name: str, entry: int, held: int, lost: bool) -> None:
+    """Here b has entry 1: one before it in the chain may have one more, one behind it none."""
+    world = quiet_world()
+    keeper = world.keepers["b"]
+    keeper.on_pulse(pulse(name, entry=entry, held=held), world.now_s)
+    assert bool(keeper.lacks) is lost
+
+
+@pytest.mark.parametrize(("newer", "heard", "anew"), [("bc", "bc", True), ("b", "bc", False), ("bc", "b", False)])
+def test_it_starts_anew_only_once_a_majority_that_is_there_has_something_newer(newer: str, heard: str,
+                                                                              anew: bool) -> None:
+    world = quiet_world()
+    keeper, now_s = world.keepers["a"], world.now_s + 5.0
+    keeper.lose("this disk is an older copy")
+    others = [pulse(f"{ip}/0", entry=2 if ip in newer else 1, epoch=256) for ip in "bc"]
+    for frame in others:
+        keeper.on_pulse(frame, now_s)
+    echo(keeper, now_s, *(frame for frame in others if frame.name[0] in heard))
+    assert (StartAnew(keeper.lacks) in keeper.tick(now_s)) is anew
+
+
+def test_as_a_view_ends_what_was_committed_in_it_is_known_of_its_chain() -> None:
+    world = quiet_world()
+    keeper = world.keepers["a"]
+    keeper.marks = {"b/0": Marks(3, 9, 256, 256, 0)}
+    keeper.hold(replace(VIEW, epoch=512))
+    assert keeper.marks == {"b/0": Marks(3, 9, 256, 256, 1)}
+
+
+def test_only_what_is_on_disk_is_told() -> None:
+    keeper = Keeper("a/0", 2, histories.revision, histories.digest, lambda: 0.5)
+    keeper.remember(Marks(1, 5), Marks(2, 6), {})
+    keeper.load(VIEW, 256, None, {}, 0.0)
+    assert keeper.on_prepare(frames.Prepare(1024, "b/0"), 0.0)
+    pulses = [keeper.own_pulse(0.0)]
+    keeper.promise_saved(1024, "b", 0.1)
+    pulses.append(keeper.own_pulse(0.1))
+    assert [(one.promised, one.kept, one.incarnation, one.draw) for one in pulses] == [
+        (1024, 256, 1, 5), (1024, 1024, 2, 6)]
+
+
+# -- files --------------------------------------------------------------------------------------------------------
+
+
+def with_store(folder: Path, what: Any) -> Any:
+    """Do something with a store of a folder, which is loaded; what that gives."""
+    async def scenario() -> Any:
+        store = Store(folder)
+        try:
+            store.found = await store.load()  # type: ignore[attr-defined]
+            found = what(store)
+            return await found if isinstance(found, Coroutine) else found
+        finally:
+            store.close()
+            store.thread.join()
+    return asyncio.run(scenario())
+
+
+def entry(number: int) -> Entry:
+    return Entry(number, 256, number * 10, number * 10 - 10, bytes([number]) * 100)
+
+
+async def fill(store: Store) -> None:
+    await store.save_view(View(256, GROUP, GROUP), None, {})
+    for number in range(1, 7):
+        await store.save_entry(entry(number))
+
+
+def rows(folder: Path, question: str) -> list[Any]:
+    database = sqlite3.connect(folder / FILE)
+    try:
+        found = database.execute(question).fetchall()
+        database.commit()
+        return found
+    finally:
+        database.close()
+
+
+def test_the_last_three_bodies_are_kept_and_a_view_replaces_them(tmp_path: Path) -> None:
+    with_store(tmp_path, fill)
+    assert rows(tmp_path, "select number from entry order by number") == [(4,), (5,), (6,)]
+    with_store(tmp_path, lambda store: store.save_view(View(512, GROUP, GROUP), entry(6), {60: b"x"}))
+    assert rows(tmp_path, "select number from entry") == [(6,)] and rows(tmp_path, "select epoch from view") == [(512,)]
+
+
+def test_a_promise_on_disk_never_goes_down_and_a_view_takes_its_own_with_it(tmp_path: Path) -> None:
+    async def promise_and_view(store: Store) -> None:
+        await store.save_promise(1024)
+        await store.save_promise(768)
+        await store.save_view(View(2048, GROUP, GROUP), None, {})
+    with_store(tmp_path, promise_and_view)
+    assert with_store(tmp_path, lambda store: store.found.promised) == 2048
+    with_store(tmp_path, lambda store: store.save_promise(512))
+    assert with_store(tmp_path, lambda store: store.found.promised) == 2048
+
+
+def test_each_commit_is_synced(tmp_path: Path) -> None:
+    async def synced(store: Store) -> int:
+        return await store.run(lambda database: int(database.execute("pragma synchronous").fetchone()[0]))
+    assert with_store(tmp_path, synced) == 2  # full
+
+
+def test_a_refused_write_closes_the_database_and_the_next_one_opens_it(tmp_path: Path) -> None:
+    def refuse(database: Any) -> None:
+        raise sqlite3.OperationalError("disk I/O error")
+
+    async def refused(store: Store) -> tuple[Any, Any]:
+        before = store.database
+        with pytest.raises(StoreError, match="disk I/O"):
+            await store.write(refuse)
+        closed = store.database
+        await store.try_disk()
+        return closed, store.database is before
+    assert with_store(tmp_path, refused) == (None, False)
+
+
+@pytest.mark.parametrize("spoil", ["update entry set body = zeroblob(100) where number = 6",
+                                   "update taken set digest = zeroblob(32) where revision = 60"])
+def test_an_entry_that_is_not_what_was_taken_is_no_state(tmp_path: Path, spoil: str) -> None:
+    with_store(tmp_path, fill)
+    assert with_store(tmp_path, lambda store: store.found.last) == entry(6)
+    rows(tmp_path, spoil)
+    assert with_store(tmp_path, lambda store: store.found.last) is None
+
+
+class Torn(sqlite3.Connection):
+    """A file whose rows are all there, and one of whose pages is not what it should be."""
+
+    def execute(self, question: str, *values: Any) -> sqlite3.Cursor:
+        return super().execute("select 'page 3 is torn'" if "quick_check" in question else question, *values)
+
+
+def test_all_pages_are_checked_at_load(tmp_path: Path) -> None:
+    with_store(tmp_path, fill)
+    found = list[str]()
+
+    def opened(path: Path) -> sqlite3.Connection:
+        found.append(path.name)
+        return sqlite3.connect(path, check_same_thread=False, factory=Torn if len(found) == 1 else sqlite3.Connection)
+
+    async def scenario() -> Any:
+        store = Store(tmp_path, opened)
+        try:
+            return await store.load()
+        finally:
+            store.close()
+            store.thread.join()
+    assert asyncio.run(scenario()).last is None and (tmp_path / f"{FILE}.aside-1").exists()
+
+
+def test_what_is_set_aside_goes_before_its_log_and_under_a_name_that_is_free(tmp_path: Path,
+                                                                             monkeypatch: pytest.MonkeyPatch) -> None:
+    moved: list[str] = []
+    real = files.rename
+
+    def rename(path: Path, target: Path) -> None:
+        moved.append(path.name)
+        real(path, target)
+    monkeypatch.setattr(files, "rename", rename)
+
+    def beside(store: Store) -> None:
+        (tmp_path / f"{FILE}-journal").write_bytes(b"left")
+        store._set_aside()
+    for number in (1, 2):
+        with_store(tmp_path, beside)
+        assert moved == [FILE, f"{FILE}-journal"]
+        moved.clear()
+        assert (tmp_path / f"{FILE}.aside-{number}").exists()
+
+
+def test_a_log_without_its_database_is_not_the_log_of_a_new_one(tmp_path: Path) -> None:
+    with_store(tmp_path, fill)
+    (tmp_path / FILE).unlink()
+    (tmp_path / f"{FILE}-wal").write_bytes(b"of the one that was")
+    assert with_store(tmp_path, lambda store: store.found.last) is None
+    assert (tmp_path / f"{FILE}.aside-1-wal").read_bytes() == b"of the one that was"
--- /dev/null
+++ b/tests/test_fencing_rules.py
@@ -0,0 +1,316 @@
+"""Each rule of docs/design/fencing.md by itself, at a node of the tree."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any, cast
+from unittest.mock import Mock
+
+import pytest
+
+from cypressbeam import frames
+from cypressbeam.configuration import digest
+from cypressbeam.listing import Listing
+from cypressbeam.node import GatewayNode
+from cypressbeam.relay import FRESH_S, HOLD_S, JOIN_S, SEEK_S
+from cypressbeam.roster import DEAF_S, Roster
+from tests.loopback import run
+from tests.parts import FIRST, FOURTH, ME, OTHER, ROOT, SECOND, THIRD, Part, Wire
+
+BODY = b"a body"
+
+
+def rows() -> bytes:
+    made = Listing(7)
+    made.poll([])
+    return made.whole().rows
+
+
+def verdict(part: Part, link: Wire, epoch: int) -> None:
+    node = SimpleNamespace(relay=part.relay, settings=part.relay.settings, gate=Mock())
+    GatewayNode.on_verdict(cast(Any, node), link, frames.Verdict("a", ("s",), epoch))
+    if node.gate.take_verdict.called:
+        part.relay.beats[99] = 1  # a change that `state` shows
+
+
+#: Each word that a parent, or the root, says, under an epoch.
+WORDS: dict[str, Callable[[Part, Wire, int], None]] = {
+    "News": lambda part, link, epoch: part.relay.on_news(link, frames.News(3, digest(BODY), epoch)),
+    "Update": lambda part, link, epoch: part.relay.on_update(
+        link, frames.Update(3, digest(BODY), bytes(32), b"", epoch)),
+    "Servers": lambda part, link, epoch: part.relay.on_listed(link, frames.Servers(7, 0, 1, 1, rows(), epoch)),
+    "Beat": lambda part, link, epoch: part.relay.on_beat(link, frames.Beat(7, 0, 0, 3, 9, epoch)),
+    "Place": lambda part, link, epoch: part.place(epoch, OTHER),
+    "Refer": lambda part, link, epoch: part.relay.on_refer(link, frames.Refer(OTHER, epoch)),
+    "Verdict": verdict,
+}
+
+
+def state(part: Part) -> Any:
+    relay = part.relay
+    return (relay.newest, relay.listing.seq, dict(relay.beats), relay.place, relay.root, relay.root_asked_s,
+            relay.fed, relay.heard_s)
+
+
+@pytest.mark.parametrize("word", WORDS)
+def test_a_word_of_an_epoch_that_is_over_changes_nothing_and_its_sender_learns_why(word: str) -> None:
+    async def scenario() -> None:
+        part = Part().under(SECOND)
+        part.relay.see(THIRD)
+        part.now_s += 0.5
+        link, before = part.wire(ROOT), state(part)
+        WORDS[word](part, link, SECOND)
+        assert state(part) == before
+        assert [frame for frame in link.sent if isinstance(frame, frames.Refer)] == [part.relay.refer()]
+        link.sent.clear()
+        WORDS[word](part, link, THIRD)
+        assert state(part) != before and "Refer" not in link.kinds()
+        WORDS[word](part, link, FOURTH)
+        assert part.relay.epoch == FOURTH
+    run(scenario())
+
+
+def test_the_highest_epoch_that_was_seen_holds_whoever_tells_of_it() -> None:
+    async def scenario() -> None:
+        for told in (lambda part: part.relay.on_refer(part.wire(OTHER), frames.Refer("", THIRD)),
+                     lambda part: part.child(THIRD),
+                     lambda part: GatewayNode.on_join(
+                         cast(Any, SimpleNamespace(relay=part.relay, core=None, founding=None)), part.wire(OTHER),
+                         frames.Join("x", OTHER, "a", 0, 0, "", epoch=THIRD))):
+            part = Part().under(SECOND)
+            told(part)
+            assert part.relay.epoch == THIRD
+            part.relay.see(FIRST)
+            assert part.relay.epoch == THIRD
+    run(scenario())
+
+
+def test_all_that_a_root_says_carries_the_epoch_in_which_it_leads() -> None:
+    async def scenario() -> None:
+        part = Part().lead(SECOND)
+        relay = part.relay
+        link = part.child(FIRST)
+        assert link.kinds()[0] == "Refer"  # it has seen less, and learns the epoch of now
+        relay.publish(3, BODY)
+        relay.listing.poll([])
+        relay.publish(4, b"another")
+        relay.see(THIRD)  # the same root, by a view with the same tail
+        relay.tell_beat()
+        relay.publish(5, b"a third")
+        epochs = [cast(Any, frame).epoch for frame in link.sent]
+        assert epochs == sorted(epochs) and set(epochs) == {SECOND, THIRD} and epochs[-1] == THIRD
+        assert set(link.kinds()) == {"Refer", "News", "Beat", "Update"}
+        for number, revision in enumerate((0, 3, 4, 5)):
+            late = part.child(THIRD, f"10.0.0.{30 + number}", revision)
+            assert {cast(Any, frame).epoch for frame in late.sent} == {THIRD} and len(late.sent) == 3 - (revision == 5)
+    run(scenario())
+
+
+def test_a_beat_of_an_epoch_that_is_over_or_whose_root_is_not_fresh_is_told_to_no_new_child() -> None:
+    async def scenario() -> None:
+        root = Part().lead(SECOND)
+        root.relay.see(THIRD)  # and no beat of it yet
+        assert "Beat" not in root.child(THIRD).kinds()
+        part = Part().under(SECOND)
+        assert "Beat" in part.child(SECOND).kinds()
+        part.now_s += (FRESH_S + SEEK_S) / 2
+        assert part.child(SECOND, "10.0.0.21").kinds() == []
+    run(scenario())
+
+
+def test_a_relay_passes_news_on_under_the_epoch_of_the_beat_that_it_had() -> None:
+    async def scenario() -> None:
+        part = Part().under(SECOND)
+        link = part.child(SECOND)
+        part.relay.on_news(part.wire(ROOT), frames.News(3, digest(BODY), SECOND))
+        (news,) = [frame for frame in link.sent if isinstance(frame, frames.News)]
+        assert news.epoch == SECOND
+    run(scenario())
+
+
+def test_a_child_that_comes_while_the_news_here_is_of_an_epoch_that_is_over_is_told_none_of_it() -> None:
+    async def scenario() -> None:
+        part = Part().under(SECOND)
+        part.relay.publish(3, BODY)
+        part.relay.see(THIRD)
+        part.relay.on_placed(part.wire(ROOT), frames.Place(THIRD, (ROOT,), (ROOT,), (), (), 3, 3, 0))
+        link = part.child(THIRD)
+        assert link in part.relay.children and not link.sent
+        part.beat(THIRD, 2)
+        assert link.kinds() == ["Beat", "News", "Beat"] and all(cast(Any, one).epoch == THIRD for one in link.sent)
+    run(scenario())
+
+
+def test_a_list_that_was_not_in_force_in_this_epoch_is_told_to_nobody() -> None:
+    async def scenario() -> None:
+        part = Part().under(SECOND)
+        WORDS["Servers"](part, part.wire(ROOT), SECOND)
+        assert part.relay.listing.seq == 1
+        assert "Servers" in part.child(SECOND).kinds()
+        part.relay.see(THIRD)
+        part.place(THIRD)
+        part.relay.on_beat(part.wire(ROOT), frames.Beat(8, 1, 0, 3, 1, THIRD))  # another life: another list
+        assert "Servers" not in part.child(THIRD, "10.0.0.22").kinds()
+        part.relay.on_beat(part.wire(ROOT), frames.Beat(7, 1, 0, 3, 2, THIRD))  # this very list is in force
+        assert "Servers" in part.child(THIRD, "10.0.0.23").kinds()
+    run(scenario())
+
+
+def test_a_join_and_an_attach_tell_what_their_sender_has_seen_and_was_given() -> None:
+    async def scenario() -> None:
+        part = Part().under(SECOND)
+        part.relay.see(THIRD)
+        part.relay.ask(OTHER)
+        part.relay.attach(OTHER)
+        join, attach = part.wire(OTHER).sent
+        assert isinstance(join, frames.Join) and (join.epoch, join.fed) == (THIRD, SECOND)
+        assert isinstance(attach, frames.Attach) and attach.epoch == THIRD
+    run(scenario())
+
+
+# -- no hearsay ---------------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("loses", ["nothing", "its parent", "the root's word", "the epoch"])
+def test_a_node_names_the_root_only_by_that_one_s_own_fresh_word(loses: str) -> None:
+    async def scenario() -> None:
+        part = Part().under(SECOND)
+        if loses == "its parent":
+            part.relay.parent = None
+        elif loses == "the root's word":
+            part.now_s += FRESH_S + 0.01
+        elif loses == "the epoch":
+            part.relay.see(THIRD)
+        assert part.relay.named() == (ROOT if loses == "nothing" else "")
+        assert part.relay.refer() == frames.Refer(part.relay.named(), part.relay.epoch, (ROOT, OTHER))
+    run(scenario())
+
+
+@pytest.mark.parametrize(("why", "taken"), [("nothing", True), ("no parent", False), ("no beat", False),
+                                            ("an epoch that is over", False)])
+def test_a_relay_that_looks_for_the_root_takes_no_children(why: str, taken: bool) -> None:
+    async def scenario() -> None:
+        part = Part().under(SECOND)
+        if why == "no parent":
+            part.relay.parent = None
+        elif why == "no beat":
+            part.now_s += SEEK_S + 0.01
+        elif why == "an epoch that is over":
+            part.relay.see(THIRD)
+        assert part.relay.seeks(part.now_s) is not taken
+        link = part.child(part.relay.epoch)
+        assert (link in part.relay.children) is taken and ("Released" in link.kinds()) is not taken
+    run(scenario())
+
+
+def test_a_root_without_a_majority_beats_no_more_and_takes_no_children() -> None:
+    async def scenario() -> None:
+        part = Part().lead(SECOND)
+        link = part.child(SECOND)
+        link.sent.clear()
+        part.relay.vouched = lambda: ""
+        part.relay.tell_beat()
+        assert link.kinds() == ["Alive"]
+        assert part.child(SECOND, "10.0.0.21").kinds() == ["Released"]
+    run(scenario())
+
+
+def test_a_root_that_resigns_lets_its_children_go() -> None:
+    async def scenario() -> None:
+        part = Part().lead(SECOND)
+        link = part.child(SECOND)
+        part.relay.resign()
+        assert not part.relay.is_root and not part.relay.children and link.kinds()[-1] == "Released"
+    run(scenario())
+
+
+# -- looking for the root -----------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("epoch", [SECOND, THIRD])
+def test_without_a_beat_a_place_of_the_same_epoch_moves_nobody_and_one_of_a_higher_does(epoch: int) -> None:
+    async def scenario() -> None:
+        part = Part().under(SECOND)
+        parent = part.relay.parent
+        part.now_s += SEEK_S + 0.1
+        part.place(epoch, OTHER)
+        assert (part.relay.parent is parent) is (epoch == SECOND)
+        assert part.relay.parent is part.wire(ROOT if epoch == SECOND else OTHER)
+    run(scenario())
+
+
+def test_a_parent_without_a_beat_is_stayed_with_for_a_bounded_time() -> None:
+    async def scenario() -> None:
+        part = Part().under(SECOND)
+        part.now_s += HOLD_S - 0.1
+        part.relay.on_alive(part.wire(ROOT))
+        part.relay.tick()
+        assert part.relay.parent is not None
+        part.now_s += 0.2
+        part.relay.on_alive(part.wire(ROOT))
+        part.relay.tick()
+        assert part.relay.parent is None
+    run(scenario())
+
+
+def test_a_root_that_is_named_is_asked_at_once_and_once_and_given_up_when_silent() -> None:
+    async def scenario() -> None:
+        part = Part()
+        for _ in range(3):
+            part.relay.on_refer(part.wire(OTHER), frames.Refer(ROOT, SECOND))
+        assert part.wire(ROOT).kinds() == ["Join"] and part.relay.root == ROOT
+        part.now_s += JOIN_S + 0.01
+        part.relay.forget_silent_root(part.now_s)
+        assert part.relay.root == ""
+        part.relay.on_refer(part.wire(OTHER), frames.Refer(ROOT, SECOND))
+        assert part.wire(ROOT).kinds() == ["Join", "Join"]
+        part.relay.on_refer(part.wire(ROOT), frames.Refer("", SECOND))  # it is the root no more, or not yet
+        assert part.relay.root == ""
+    run(scenario())
+
+
+def test_who_names_nobody_is_not_answered() -> None:
+    """Two that know no root would go on telling each other."""
+    async def scenario() -> None:
+        part = Part()
+        part.relay.see(THIRD)
+        part.relay.on_refer(part.wire(OTHER), frames.Refer("", SECOND))
+        assert part.wire(OTHER).sent == []
+    run(scenario())
+
+
+def test_the_group_is_known_by_the_newest_word_on_it() -> None:
+    async def scenario() -> None:
+        part = Part().under(SECOND)
+        part.relay.on_refer(part.wire(OTHER), frames.Refer("", FIRST, ("10.9.9.9",)))
+        assert list(part.relay.group) == [ROOT, OTHER]
+        part.relay.on_refer(part.wire(OTHER), frames.Refer("", THIRD, (OTHER,)))
+        assert list(part.relay.group) == [OTHER]
+    run(scenario())
+
+
+# -- who feeds must hear ------------------------------------------------------------------------------------------
+
+
+def test_one_that_does_not_hear_the_root_feeds_nobody_until_it_does() -> None:
+    roster = Roster("root")
+    for name in ("root", "one", "two"):
+        roster.join(frames.Join(name, name, "a", frames.FRONT, 1, "", epoch=SECOND, fed=SECOND), 0.0, SECOND)
+    first = next(known.name for known in roster.order("a") if known.name != "root")
+
+    def join(at_s: float, fed: int) -> bool:
+        """Whether it may feed others after this join."""
+        roster.join(frames.Join(first, first, "a", frames.FRONT, 1, "", epoch=SECOND, fed=fed), at_s, SECOND)
+        return roster.order("a")[1].name == first
+    assert join(1.0, FIRST) and join(1.2, FIRST)
+    assert not join(1.0 + DEAF_S, FIRST) and not join(1.7, FIRST)
+    assert join(1.8, SECOND)
+    assert join(3.0, FIRST) and join(6.0, FIRST)  # no longer again and again: the answers came between
+
+
+def test_the_root_itself_is_named_by_its_own_address() -> None:
+    async def scenario() -> None:
+        part = Part().lead(SECOND)
+        assert part.relay.named() == ME and part.relay.standing() == SECOND
+    run(scenario())
--- /dev/null
+++ b/tests/test_order_rules.py
@@ -0,0 +1,142 @@
+"""Each rule of docs/design/orders.md by itself, that no other test holds."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any, cast
+from unittest.mock import Mock
+
+import pytest
+
+from cypressbeam import frames, taken
+from cypressbeam.agreement import Keeper, Proposal
+from cypressbeam.chain import MOST_WAITING, Entry, Member, Tell, View
+from cypressbeam.configuration import MOST_REVISION, digest
+from cypressbeam.control import AGAIN_S, PATIENCE_S, Control
+from lab.histories import World, revision
+from tests.loopback import run
+
+ALONE = View(256, ("a/1",), ("a/1",))
+CHAIN = View(256, ("a/1", "b/1"), ("a/1", "b/1"))
+
+
+def order(ident: int, body: bytes = b"10:x", base: int = 0) -> frames.Order:
+    return frames.Order(ident, "client", base, body)
+
+
+def statuses(actions: list[Any]) -> dict[int, int]:
+    return {one.frame.ident: one.frame.status for one in actions
+            if isinstance(one, Tell) and isinstance(one.frame, frames.Outcome)}
+
+
+def quiet_world() -> World:
+    world = World(1, loss=0.0)
+    world.run(1.0)
+    return world
+
+
+# -- at the head --------------------------------------------------------------------------------------------------
+
+
+def test_too_many_orders_that_wait_are_told_to_come_back() -> None:
+    member = Member("a", ALONE, revision, digest, active=True)
+    member.order(order(0), 0.0)
+    for ident in range(1, MOST_WAITING + 1):
+        assert statuses(member.order(order(ident, b"11:%d" % ident), 0.0)) == {}
+    assert statuses(member.order(order(999, b"12:x"), 0.0)) == {999: 503} and len(member.waiting) == MOST_WAITING
+
+
+@pytest.mark.parametrize(("me", "sealed", "active"), [("b", False, True), ("a", True, True), ("a", False, False)])
+def test_only_the_head_of_an_active_view_takes_orders(me: str, sealed: bool, active: bool) -> None:
+    member = Member(me, CHAIN, revision, digest, active=active, sealed=sealed)
+    assert member.order(order(1), 0.0) == [] and not member.waiting and member.syncing is None
+
+
+@pytest.mark.parametrize(("status", "asks"), [(400, True), (412, True), (503, False), (200, False)])
+def test_what_names_the_version_in_force_waits_for_a_majority_s_word(status: int, asks: bool) -> None:
+    world = quiet_world()
+    keeper = world.keepers["a"]
+    outcome = frames.Outcome(7, status, "")
+    told = [one.frame for one in keeper.note_syncs([Tell("client", outcome)], world.now_s) if isinstance(one, Tell)]
+    assert (outcome not in told) is asks and any(isinstance(frame, frames.Confirm) for frame in told) is asks
+
+
+# -- digests ------------------------------------------------------------------------------------------------------
+
+
+def test_what_stands_above_an_entry_s_base_was_not_taken() -> None:
+    known = {10: b"ten", 20: b"twenty", 30: b"thirty"}
+    taken.note(known, 25, 10, b"new")
+    assert known == {10: b"ten", 25: b"new"}
+
+
+def test_without_the_digests_all_versions_may_be_forgotten() -> None:
+    assert taken.forgotten({}, 0) == 0 and taken.forgotten({}, 5) == MOST_REVISION
+    assert taken.forgotten({40: b"", 50: b""}, 5) == 39 and taken.forgotten({10: b"", 20: b""}, 2) == 0
+
+
+def test_of_one_s_own_digests_count_those_that_all_hold() -> None:
+    own = {10: b"ten", 20: b"twenty", 30: b"refused"}
+    assert taken.merge(own, 20, {40: b"forty"}) == {10: b"ten", 20: b"twenty", 40: b"forty"}
+
+
+def test_between_machines_go_the_digests_that_the_other_lacks() -> None:
+    """The proposer names the base of its newest entry; a promise brings what is above; each is sent what it lacks."""
+    world = quiet_world()
+    for keeper in world.keepers.values():
+        assert keeper.member is not None
+        keeper.member.last = Entry(3, 256, 30, 20, b"30:x")
+        keeper.member.taken.update({number: bytes([number]) * 32 for number in (10, 20, 30)})
+    keeper = world.keepers["a"]
+    (prepare, *_) = (one.frame for one in keeper.propose(world.now_s) if isinstance(one, Tell))
+    assert isinstance(prepare, frames.Prepare) and prepare.since == 20
+    promise = promised(world.keepers["b"], prepare, world.now_s)
+    assert list(taken.unpack(promise.taken)) == [30]
+    proposal = Proposal(prepare.epoch, (), (), world.now_s, promises={promise.name: promise})
+    known = world.keepers["b"].all_taken()
+    for name, sent in ((promise.name, [30]), ("c/empty", [10, 20, 30])):
+        accept = keeper.accept_for(proposal, name, (), (), promise, known)
+        assert list(taken.unpack(accept.taken)) == sent and accept.since == (20 if len(sent) == 1 else 0)
+
+
+def promised(keeper: Keeper, prepare: frames.Prepare, now_s: float) -> frames.Promise:
+    assert keeper.on_prepare(prepare, now_s)
+    (told,) = keeper.promise_saved(prepare.epoch, "a", now_s)
+    assert isinstance(told, Tell) and isinstance(told.frame, frames.Promise)
+    return told.frame
+
+
+# -- at the node that took the call -------------------------------------------------------------------------------
+
+
+def test_a_call_is_sent_again_until_its_caller_goes_on_and_then_left_without_a_clear_answer() -> None:
+    sent: list[tuple[str, frames.Frame]] = []
+    later: list[tuple[float, Any]] = []
+
+    async def scenario() -> None:
+        control = Control("10.0.0.1", lambda: ("head", "tail"), lambda ip, frame: sent.append((ip, frame)), Mock())
+        now_s, connection = 5.0, Mock()
+        control.loop = cast(Any, SimpleNamespace(time=lambda: now_s, call_later=lambda wait_s, what, name:
+                                                 later.append((wait_s, lambda: what(name)))))
+        control.pass_on(order(1), connection)
+        for _ in range(20):
+            if not later:
+                break
+            wait_s, what = later.pop()
+            now_s += wait_s
+            what()
+        assert {ip for ip, _ in sent} == {"head"} and 3 <= len(sent) <= 5
+        assert PATIENCE_S <= now_s - 5.0 < PATIENCE_S + AGAIN_S
+        assert connection.respond.call_args.args[0].status == 503 and not control.calls
+    run(scenario())
+
+
+def test_reads_go_to_the_tail() -> None:
+    sent: list[str] = []
+
+    async def scenario() -> None:
+        control = Control("10.0.0.1", lambda: ("head", "tail"), lambda ip, frame: sent.append(ip), Mock())
+        control.pass_on(frames.Read(1, "10.0.0.1"), Mock())
+        control.calls.clear()
+    run(scenario())
+    assert sent == ["tail"]
--- a/tests/test_validity.py
+++ b/tests/test_validity.py
@@ -127,6 +127,8 @@
     (cbor2.dumps(with_route(plant=None)), "either plant or allocation"),
     (cbor2.dumps(with_route() | {"plants": demo_configuration()["plants"] * 2}), "same label"),
     (cbor2.dumps(with_route() | {"constraints": {"bodyMaxBytes": 2 ** 63}}), "constraints"),
+    (cbor2.dumps(with_route() | {"constraints": {"quietMs": math.nan}}), "constraints"),
+    (cbor2.dumps(with_route() | {"constraints": {"headerMaxBytes": 0}}), "constraints"),
     (DEMO + b"\xf6", "behind"), (b"\xbf" + DEMO[1:], "CBOR"), (b"\x81" * 100_000, "CBOR"),
     (b"\x9b" + b"\xff" * 8, "CBOR"), (cbor2.dumps(cbor2.CBORTag(5, [2 ** 62, 3])), "CBOR"),
     (b"\xd8\x1c\x81\xd8\x1d\x00", "object")], ids=lambda value: str(value)[:30])
--- /dev/null
+++ b/tests/test_word_rules.py
@@ -0,0 +1,202 @@
+"""Each rule of docs/design/fencing.md by itself, at a machine of the core: whose word counts, and for how long."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from types import SimpleNamespace
+from typing import Any, cast
+from unittest.mock import Mock
+
+import pytest
+
+from cypressbeam import frames
+from cypressbeam.agreement import DEAD_S
+from cypressbeam.chain import View
+from cypressbeam.control import Control
+from cypressbeam.core import ABOVE_S, INTRODUCE_S, Core
+from cypressbeam.node import ALONE_S, GatewayNode
+from cypressbeam.peers import Link
+from tests.loopback import run
+from tests.parts import FIRST, ME, OTHER, ROOT, SECOND, SETTINGS, THIRD, Part, Wire
+
+VIEW = View(SECOND, (f"{OTHER}/b", f"{ME}/a"), (f"{ME}/a", f"{OTHER}/b", f"{ROOT}/c"))
+
+
+class Machine(Part):
+    """A machine of the core, the last of its chain, whose keeper says what a test wants it to say."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.contact_s, self.leads, self.proposed = self.now_s, True, 0
+        self.told: list[tuple[str, frames.Frame]] = []
+        self.core = Core(SETTINGS, self.relay, lambda ip, frame: self.told.append((ip, frame)), Mock())
+        self.core.loop = self.relay.loop
+        self.heard = {OTHER: SimpleNamespace(epoch=SECOND), ROOT: SimpleNamespace(epoch=SECOND)}
+        self.keeper = SimpleNamespace(
+            view=VIEW, name=f"{ME}/a", promised=SECOND, root=True, heard=self.heard, proposal=None, seen_epoch=SECOND,
+            contact_s=lambda now_s: self.contact_s, leads=lambda now_s: self.leads, propose=self.propose)
+        self.core.keeper = cast(Any, self.keeper)
+
+    def propose(self, now_s: float) -> list[Any]:
+        self.proposed = self.keeper.seen_epoch
+        return []
+
+    def as_root(self) -> Machine:
+        self.core.lead(True)
+        assert self.relay.is_root
+        self.told.clear()
+        return self
+
+
+@pytest.mark.parametrize(("why", "named"), [
+    ("", ME), ("no majority", ""), ("a later view", ""), ("a later promise", ""), ("a higher epoch", "")])
+def test_a_machine_names_the_root_only_with_a_majority_and_without_a_later_epoch(why: str, named: str) -> None:
+    async def scenario() -> None:
+        machine = Machine()
+        machine.leads = False
+        if why == "no majority":
+            machine.now_s += DEAD_S + 0.01
+        elif why == "a later view":
+            machine.heard[ROOT].epoch = THIRD
+        elif why == "a later promise":
+            machine.keeper.promised = THIRD
+        elif why == "a higher epoch":
+            machine.relay.see(THIRD)
+        assert machine.core.vouched() == named
+    run(scenario())
+
+
+def test_a_machine_that_is_no_member_names_the_root_as_any_other_node() -> None:
+    async def scenario() -> None:
+        machine = Machine()
+        machine.keeper.view = replace(VIEW, group=VIEW.group[1:])
+        assert machine.core.vouched() == ""
+        machine.under(SECOND)
+        assert machine.core.vouched() == ROOT
+    run(scenario())
+
+
+def test_an_epoch_counts_as_seen_once_somebody_leads_in_it() -> None:
+    async def scenario() -> None:
+        machine = Machine()
+        machine.leads = False
+        machine.core.note_epoch()
+        assert machine.relay.epoch == 0 and machine.relay.group == (ME, OTHER, ROOT)
+        machine.leads = True
+        machine.core.note_epoch()
+        assert machine.relay.epoch == SECOND
+    run(scenario())
+
+
+def test_a_root_that_is_over_resigns_as_it_sees_a_higher_epoch() -> None:
+    async def scenario() -> None:
+        machine = Machine().as_root()
+        link = machine.child(SECOND)
+        machine.relay.see(THIRD)
+        assert not machine.relay.is_root and link.kinds()[-1] == "Released"
+        machine.core.lead(True)
+        assert not machine.relay.is_root
+    run(scenario())
+
+
+def test_a_root_whose_own_view_is_the_higher_one_stays_it_and_tells_so_at_once() -> None:
+    async def scenario() -> None:
+        machine = Machine().as_root()
+        link = machine.child(SECOND)
+        machine.keeper.view = replace(VIEW, epoch=THIRD)
+        machine.relay.see(THIRD)
+        assert machine.relay.is_root and link in machine.relay.children
+        assert isinstance(link.sent[-1], frames.Beat) and link.sent[-1].epoch == THIRD
+    run(scenario())
+
+
+def test_a_tail_below_what_nodes_have_seen_is_no_root_and_proposes_a_view_above_that() -> None:
+    async def scenario() -> None:
+        machine = Machine()
+        machine.relay.see(THIRD)
+        machine.core.follow(machine.now_s)
+        assert not machine.relay.is_root
+        machine.now_s += ABOVE_S - 0.1
+        machine.core.follow(machine.now_s)
+        assert not machine.proposed
+        machine.now_s += 0.1
+        machine.core.follow(machine.now_s)
+        assert machine.proposed >= THIRD and not machine.relay.is_root
+    run(scenario())
+
+
+def test_a_keeper_that_is_the_root_no_more_ends_it_here() -> None:
+    async def scenario() -> None:
+        machine = Machine().as_root()
+        machine.keeper.root = False
+        machine.core.follow(machine.now_s)
+        assert not machine.relay.is_root
+    run(scenario())
+
+
+@pytest.mark.parametrize("contact", [True, False])
+def test_a_root_places_nodes_takes_up_the_list_and_introduces_itself_only_with_a_majority(contact: bool) -> None:
+    async def scenario() -> None:
+        machine = Machine().as_root()
+        child, link = machine.child(SECOND), machine.wire("10.0.0.30")
+        child.sent.clear()
+        if not contact:
+            machine.now_s += DEAD_S + 0.01
+        machine.core.went_on_s = machine.now_s
+        machine.core.on_join(link, frames.Join("x", link.ip, "a", frames.FRONT, 0, "", epoch=SECOND))
+        machine.core.take_list([])
+        machine.core.introduce(machine.now_s + INTRODUCE_S)
+        assert link.kinds() == (["Place"] if contact else ["Refer"])
+        assert child.kinds() == (["Servers"] if contact else [])
+        assert [type(frame) for _, frame in machine.told] == ([frames.Refer] if contact else [])
+        assert all(cast(Any, frame).epoch == SECOND for frame in [*link.sent, *child.sent])
+    run(scenario())
+
+
+def test_servers_that_fail_for_many_are_told_under_the_root_s_epoch() -> None:
+    async def scenario() -> None:
+        machine = Machine().as_root()
+        link = machine.child(SECOND)
+        found = SimpleNamespace(report=lambda *_: ["s"])
+        node = SimpleNamespace(relay=machine.relay, core=machine.core, verdicts=found, loop=machine.relay.loop)
+        GatewayNode.pass_up(cast(Any, node), frames.Ailing(0, "x", "a", ("s",)))
+        assert link.sent[-1] == frames.Verdict("a", ("s",), SECOND)
+    run(scenario())
+
+
+def test_a_frame_with_an_epoch_that_cannot_be_closes_its_link() -> None:
+    async def scenario() -> None:
+        part = Part()
+        for epoch, closed in ((0, False), (FIRST, False), (1, True), (255, True), (2 ** 48 + 1, True)):
+            link = Link(part.peers, OTHER)
+            data = frames.Refer("", epoch).pack()
+            link.data_received(data)
+            assert link.closed is closed, epoch
+    run(scenario())
+
+
+@pytest.mark.parametrize(("why", "alone"), [("", True), ("a parent", False), ("heard lately", False),
+                                            ("a moment only", False), ("of the core", False)])
+def test_a_node_that_reaches_nobody_refuses_control_calls_at_once(why: str, alone: bool) -> None:
+    async def scenario() -> None:
+        part = Part().under(SECOND)
+        if why != "a parent":
+            part.relay.parent = None
+        part.now_s += ALONE_S + (-0.1 if why == "a moment only" else 0.1)
+        part.peers.heard = {OTHER: part.now_s - 1.0} if why == "heard lately" else {}
+        node = SimpleNamespace(relay=part.relay, core=Mock() if why == "of the core" else None, peers=part.peers,
+                               loop=part.relay.loop)
+        assert GatewayNode.alone(cast(Any, node)) is alone
+        control = Control(ME, lambda: (ROOT,), lambda ip, frame: None, Mock(), alone=lambda: alone)
+        answer = control.pass_on(frames.Read(1, ME), Mock())
+        assert (answer is not None and answer.status == 503) is alone
+        control.calls.clear()
+    run(scenario())
+
+
+def test_a_wire_keeps_what_it_is_given() -> None:
+    async def scenario() -> None:
+        wire = Wire(Part().peers, OTHER)
+        wire.send_packed(frames.Alive().pack())
+        assert wire.sent == [frames.Alive()]
+    run(scenario())
