Say that an order is invalid only while all members judge by the same check

Cause: a refusal is final, and only heads judge.

Ruled out: keeping refused digests (they would have to be on a majority's disks before the answer, and a roll-out restarts the machines that remember); letting all members of a chain judge (an entry that one refuses stops the chain).

Change: each pulse tells the version of the sender's check in the byte that says whether its disk works, which earlier programs read as true. While a member of the group is known to have another version the head answers 503 in place of 400. Not found, and said in orders.md: a member not heard since this head started; a program rolled back after a refusal.

--- a/cypressbeam/agreement.py
+++ b/cypressbeam/agreement.py
@@ -60,8 +60,9 @@
 TRY_DISK_S = 1.0
 #: How often machines of the core pass on an order or a read that is not theirs.
 MOST_HOPS = 2
-#: Answers that say which version is in force.
-REFUSALS = (400, 412)
+#: Answers that say which version is in force; the first may depend on the program that judges.
+INVALID = 400
+REFUSALS = (INVALID, 412)
 #: A read waits so long for a majority's word.
 CONFIRM_S = 0.8
 
@@ -182,6 +183,10 @@
         self.taken: dict[int, bytes] = {}
         self.heard: dict[str, Heard] = {}
         """By address."""
+        self.checks = 0
+        """By which version of the check this machine judges configurations (configuration.CHECKS)."""
+        self.checks_of: dict[str, int] = {}
+        """The same of others, by address, as they told it last."""
         self.proposal: Proposal | None = None
         self.patience = 1
         self.accepting: View | None = None
@@ -379,7 +384,8 @@
         """With a number that is to be echoed, if it asks for that."""
         epoch = self.member.view.epoch if self.member is not None else 0
         own = self.own_marks()
-        return frames.Pulse(self.name, epoch, self.promised, int(self.disk_works(now_s)), self.standing,
+        disk = 1 + 2 * self.checks if self.disk_works(now_s) else 0
+        return frames.Pulse(self.name, epoch, self.promised, disk, self.standing,
                             self.next_number(now_s) if asks else 0, echo, own.incarnation, own.draw, own.promised,
                             own.epoch, own.number)
 
@@ -407,6 +413,8 @@
             at_s = max(at_s, before.at_s)
         self.heard[ip] = Heard(frame.name, frame.epoch, frame.promised, bool(frame.disk), frame.standing, at_s,
                                frame.held, frame.entry)
+        if frame.disk:
+            self.checks_of[ip] = frame.disk >> 1
         if self.shows_a_loss(frame):
             self.lose(f"{frame.name} has entry {frame.entry} of epoch {frame.held}, and this disk {self.own_marks()}")
         self.seen_epoch = max(self.seen_epoch, frame.promised, frame.epoch)
@@ -794,13 +802,22 @@
         for action in actions:
             if isinstance(action, Sync):
                 self.writes.append(now_s)
-            if (isinstance(action, Tell) and isinstance(action.frame, frames.Outcome)
+            if isinstance(action, Tell) and isinstance(action.frame, frames.Outcome) and (
+                    action.frame.status == INVALID and not self.judge_alike()):
+                done.append(Tell(action.ip, replace(action.frame, status=503, text=f"for now: {action.frame.text}")))
+            elif (isinstance(action, Tell) and isinstance(action.frame, frames.Outcome)
                     and action.frame.status in REFUSALS):
                 done += self.confirm(action.frame.ident, action.ip, action.frame, now_s)
             else:
                 done.append(action)
         return done
 
+    def judge_alike(self) -> bool:
+        """Whether no member is known to judge configurations by another version of the check: it may be the head next,
+        and take a late copy of what was refused here."""
+        return self.view is None or all(self.checks_of.get(ip_of(name), self.checks) == self.checks
+                                        for name in self.view.group)
+
     def confirm(self, ident: int, origin: str, refusal: frames.Outcome | None, now_s: float) -> list[Action]:
         """Ask the group whether this epoch still holds, before something is answered."""
         assert self.view is not None
--- a/cypressbeam/configuration.py
+++ b/cypressbeam/configuration.py
@@ -14,6 +14,9 @@
 #: Between nodes and on disk a version's number has eight bytes, with a sign. Other whole numbers have the same bound:
 #: one of thousands of digits can't even be written as text.
 MOST_REVISION = MOST_WHOLE = 2 ** 63 - 1
+#: The version of the check, up to 127: to be raised with each change of what is refused. While members of two versions
+#: are there, what is no valid configuration is left without a clear answer (docs/design/orders.md).
+CHECKS = 1
 
 
 class Invalid(Exception):
--- a/cypressbeam/core.py
+++ b/cypressbeam/core.py
@@ -214,6 +214,7 @@
         self.relay.identity = name
         self.keeper = Keeper(name, self.settings.machine_losses + 1, revision_of, configuration.digest,
                              self.chance.random)
+        self.keeper.checks = configuration.CHECKS
         self.members = Members(self.keeper, self.settings.machine_losses, self.settings.replace_after_s)
         self.keeper.remember(loaded.own, loaded.raised, loaded.marks)
         self.noted_s = self.loop.time()
--- a/cypressbeam/frames.py
+++ b/cypressbeam/frames.py
@@ -395,7 +395,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Pulse(Frame):
-    """A member lives: the view it holds, the epoch it has promised, whether its disk works, and what it says of it."""
+    """A member lives: the view it holds, the epoch it has promised, whether its disk works (0: it does not; else 1, and
+    twice the version of its check of configurations), and what it says of it."""
 
     KIND = 18
     FORM = "sqqccqqqqqqq"
--- a/tests/test_order_rules.py
+++ b/tests/test_order_rules.py
@@ -61,6 +61,33 @@
     assert (outcome not in told) is asks and any(isinstance(frame, frames.Confirm) for frame in told) is asks
 
 
+@pytest.mark.parametrize(("status", "final"), [(400, False), (412, True)])
+def test_while_members_judge_by_two_versions_of_the_check_nothing_is_said_to_be_invalid(status: int,
+                                                                                        final: bool) -> None:
+    """The next head may be the one that takes it, when a late copy comes."""
+    world = quiet_world()
+    keeper, now_s = world.keepers["a"], world.now_s
+    for keeper.checks, final_now in ((1, final), (0, True)):  # the others' is 0: first before, then after the roll-out
+        told = keeper.note_syncs([Tell("client", frames.Outcome(7, status, "no valid one"))], now_s)
+        assert (statuses(told) == {}) is final_now and (final_now or statuses(told) == {7: 503})
+        keeper.reads.clear()
+
+
+def test_a_pulse_tells_the_version_of_the_check_and_that_stays_known_of_a_disk_in_trouble() -> None:
+    world = quiet_world()
+    here, there = world.keepers["a"], world.keepers["b"]
+    assert here.judge_alike() and there.own_pulse(world.now_s).disk == 1
+    there.checks = 3
+    here.on_pulse(there.own_pulse(world.now_s), world.now_s)
+    assert not here.judge_alike() and here.heard["b"].disk
+    there.disk_failed_s = world.now_s
+    here.on_pulse(there.own_pulse(world.now_s), world.now_s)
+    assert not here.judge_alike() and not here.heard["b"].disk
+    here.checks_of["x"] = 9  # no member: it will not be the head
+    here.checks, here.checks_of["c"] = 3, 3
+    assert here.judge_alike()
+
+
 # -- digests ------------------------------------------------------------------------------------------------------
 
 
--- a/tests/test_word_rules.py
+++ b/tests/test_word_rules.py
@@ -9,13 +9,14 @@
 
 import pytest
 
-from cypressbeam import frames
+from cypressbeam import configuration, frames
 from cypressbeam.agreement import DEAD_S
 from cypressbeam.chain import View
 from cypressbeam.control import Control
 from cypressbeam.core import ABOVE_S, INTRODUCE_S, Core
 from cypressbeam.node import ALONE_S, GatewayNode
 from cypressbeam.peers import Link
+from cypressbeam.store import Loaded
 from tests.loopback import run
 from tests.parts import FIRST, ME, OTHER, ROOT, SECOND, SETTINGS, THIRD, Part, Wire
 
@@ -194,6 +195,14 @@
     run(scenario())
 
 
+def test_a_machine_judges_by_the_version_of_its_program() -> None:
+    async def scenario() -> None:
+        machine = Machine()
+        machine.core.take_up(Loaded("abc", 0, None, None, {}))
+        assert machine.core.keeper is not None and machine.core.keeper.checks == configuration.CHECKS > 0
+    run(scenario())
+
+
 def test_a_wire_keeps_what_it_is_given() -> None:
     async def scenario() -> None:
         wire = Wire(Part().peers, OTHER)
