--- a/cypressbeam/frames/consensus.py
+++ b/cypressbeam/frames/consensus.py
@@ -59,7 +59,8 @@
     promised: int
     """The epoch that it has promised."""
     disk: int
-    """1: its disk takes writes; 0: it refuses them."""
+    """0: it refuses writes, or the sender is a machine that leaves; otherwise 1, and twice the version of the sender's
+    check of configurations."""
     standing: int = 1
     """What its disk counts for: EMPTY, LEVEL or COUNTED (agreement.py)."""
     number: int = 0
