--- a/cypressbeam/node.py
+++ b/cypressbeam/node.py
@@ -183,6 +183,9 @@
         except SettingsError as err:
             log.error("settings: %s; the old ones stay", err)
             return
+        self.take_up(new)
+
+    def take_up(self, new: Settings) -> None:
         if new.seeds != self.settings.seeds:
             log.info("settings: seeds are %s", " ".join(f"{host}:{port}" for host, port in new.seeds))
         self.settings = self.relay.settings = new
--- a/lab/clients.py
+++ b/lab/clients.py
@@ -60,6 +60,10 @@
         if self.done is not None and not self.done.done():
             self.done.set_exception(EOFError("closed"))
 
+    def was_read(self) -> bool:
+        """Whether the node has read all that was sent to it."""
+        return bool(self.transport.delivered())
+
     async def call(self, message: bytes, most_s: float) -> Answer:
         """Raises EOFError where the connection ends first, TimeoutError where it takes longer."""
         self.reader.reset()
@@ -152,11 +156,12 @@
         left_ms = max(int(1000 * (ends_s - loop.time())), 1)
         message = (b"%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nTime-Left-Ms: %d\r\nContent-Length: %d\r\n\r\n%s"
                    % (method, target, self.host(kind).encode(), ident.encode(), left_ms, len(body), body))
-        one = Try(ident, kind.name, kind.mode == "idempotent", node, (method, target, body), loop.time())
+        one = Try(ident, kind.name, kind.mode == "idempotent", node, (method, target, body), loop.time(),
+                  servers=kind.tries, ends_s=ends_s, cutoff_s=kind.cutoff / 1000, worth=kind.worth)
         self.ledger.sends(one, self.services(kind))
         answer: Answer | None = None
         with contextlib.suppress(OSError, EOFError, TimeoutError):
-            answer = await self.exchange(node, nodes[node], message, ends_s, fresh)
+            answer = await self.exchange(one, nodes[node], message, fresh)
         one.ended_s = loop.time()
         if answer is None:
             return None, self.chance.uniform(0.0, PAUSE_S)
@@ -165,9 +170,9 @@
         told = answer.header(b"retry-after")
         return answer, float(told) if told is not None else self.chance.uniform(0.0, PAUSE_S)
 
-    async def exchange(self, node: str, address: Address, message: bytes, ends_s: float, fresh: bool) -> Answer:
+    async def exchange(self, one: Try, address: Address, message: bytes, fresh: bool) -> Answer:
         loop = asyncio.get_running_loop()
-        idle = self.idle[node]
+        idle = self.idle[one.node]
         wire = None
         while idle and not fresh and wire is None:
             kept = idle.pop()
@@ -176,8 +181,10 @@
             async with asyncio.timeout(CONNECT_S):
                 _, wire = await loop.create_connection(lambda: Wire(self.stray), *address)
         try:
-            answer = await wire.call(message, max(ends_s - loop.time(), 0.001))
+            one.asked_s = loop.time()
+            answer = await wire.call(message, max(one.ends_s - loop.time(), 0.001))
         except BaseException:
+            one.was_read = wire.was_read()
             wire.close()
             raise
         if wire.reader.keep_alive and self.chance.random() < self.kept:
@@ -190,11 +197,20 @@
         self.ledger.breach("MIXED", asyncio.get_running_loop().time(), "bytes on a connection where no request waits")
 
     def check(self, one: Try, answer: Answer) -> None:
-        """MIXED: a success has its server's seal and the whole body of the server's answer to this very request."""
+        """MIXED: a success has its server's seal and the whole body of the server's answer to this very request; a
+        failure that has a seal has the status that its server gave."""
         if answer.status >= 300:
+            self.check_failure(one, answer)
             return
         seal = answer.header(b"server-seal") or b""
         server, _, ident = seal.rpartition(b".")
         whole = b"from %s: %s %s\n" % (server, one.what[0], one.what[1])
         if ident != one.ident.encode() or answer.body != whole:
             self.ledger.breach("MIXED", one.ended_s or one.sent_s, f"{one.ident} got an answer sealed {seal!r}")
+
+    def check_failure(self, one: Try, answer: Answer) -> None:
+        for seal in [value for name, value in answer.headers if name.lower() == b"server-seal"]:
+            given = self.ledger.given.get(seal)
+            if given != answer.status or seal.rpartition(b".")[2] != one.ident.encode():
+                self.ledger.breach("MIXED", one.ended_s or one.sent_s,
+                                   f"{one.ident} got {answer.status} sealed {seal!r}, whose server gave {given}")
--- a/lab/daily.py
+++ b/lab/daily.py
@@ -19,11 +19,13 @@
          Kind(name="upload", service="booker", mode="ingest", per_s=2.0, work_ms=250.0, body=60_000))
 KINDS_OF_TROUBLE = ("srv_ill", "srv_crash", "srv_flap", "release", "scale_in", "scale_out", "idle_race", "answer_lost",
                     "surplus", "node_kill", "roll_term", "power_off_all", "zone_cut", "lossy", "burst", "config_change",
-                    "config_race", "reuse")
+                    "config_race", "reuse", "hup")
 HOW = ("errors", "shed", "busy", "hang", "mute", "reset", "slow")
 #: Of each trouble that has one, the least and the most of its strength.
 STRENGTH = {"srv_ill": (0.1, 1.0), "idle_race": (0.1, 1.0), "answer_lost": (0.01, 0.3), "surplus": (0.01, 0.3),
             "lossy": (0.005, 0.05), "burst": (1.5, 4.0)}
+#: Routes' cut-offs; 0: the deadline.
+CUTOFFS_MS = (0.0, 0.0, 2000.0, 4000.0)
 TRAFFIC_S, CALM_S, MOST_TROUBLES = 16.0, 4.0, 6
 #: Of what is asked in the calm at the end so much must be served.
 SERVED = 0.5
@@ -44,9 +46,11 @@
     """The day of a seed."""
     chance = random.Random(f"day {seed}")
     troubles = tuple(trouble(chance) for _ in range(chance.randint(1, MOST_TROUBLES)))
+    # The operator's bound is now the clients' deadline, now well below it.
+    kinds = tuple(msgspec.structs.replace(kind, cutoff_ms=chance.choice(CUTOFFS_MS)) for kind in KINDS)
     return Day(name=f"drawn-{seed}", edges=chance.randint(4, 16), cores=chance.choice((3, 3, 5)),
                zones=chance.randint(2, 4), idle_routes=chance.choice((8, 8, 300)), traffic_s=TRAFFIC_S,
-               services=SERVICES, kinds=KINDS, troubles=troubles)
+               services=SERVICES, kinds=kinds, troubles=troubles)
 
 
 def wrong(day: Day, seed: int) -> tuple[str, str]:
@@ -56,12 +60,15 @@
         world.run(world.play())
         found: Outcome = world.outcome()
         calm_s = max((wish.began_s for wish in world.ledger.wishes), default=0.0) - CALM_S
+        held = world.ledger.held()
         calm = [wish for wish in world.ledger.wishes if wish.began_s > calm_s]
     finally:
         world.close()
     if found.breaches:
         first = found.breaches[0]
         return first.rule, f"{first.at_s:.2f} s {first.rule}: {first.text}"
+    if held:
+        return "HELD", f"{held[0].sent_s:.2f} s HELD: {len(held)} requests past their cut-off, {held[0].ident} first"
     served = sum(wish.served for wish in calm) / max(len(calm), 1)
     return ("RECOVER", f"RECOVER: {served:.0%} served in the calm at the end") if served < SERVED else ("", "")
 
--- a/lab/day.py
+++ b/lab/day.py
@@ -41,6 +41,8 @@
     work_ms: float = 220.0
     aim_ms: float = 1200.0
     deadline_ms: float = 8000.0
+    cutoff_ms: float = 0.0
+    """The longest time that the operator wants a request held; 0: until its deadline."""
     worth: float = 1.0
     late_worth: float = 0.3
     repeats: int = 2
@@ -50,13 +52,17 @@
     body: int = 0
     """Bytes that a request carries."""
 
+    @property
+    def cutoff(self) -> float:
+        return self.cutoff_ms or self.deadline_ms
+
 
 class Trouble(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """One entry of a day: what, when (seconds from the start of traffic), for how long, and on how many."""
 
     kind: Literal["srv_ill", "srv_crash", "srv_flap", "release", "scale_in", "scale_out", "idle_race", "answer_lost",
                   "surplus", "node_kill", "roll_term", "power_off_all", "zone_cut", "lossy", "burst", "config_change",
-                  "config_race", "reuse"]
+                  "config_race", "reuse", "hup"]
     at: float = 0.0
     for_s: float = 5.0
     gap_s: float = 1.0
@@ -89,6 +95,10 @@
     """Whether nodes tell each other which servers fail."""
     contact_s: float = 5.0
     """A machine is out of touch until so long after its trouble."""
+    grace_s: float = 6.0
+    """After a SIGTERM a process gets so long to end."""
+    loss_slack_s: float = 0.2
+    """A connection may end so soon after a request was sent on it, if the request went to no server."""
     drain_s: float = 4.0
     converge_s: float = 4.0
     retry_ratio: float = 0.2
--- a/lab/emulator.py
+++ b/lab/emulator.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import logging
 import math
 import random
@@ -28,6 +29,7 @@
 from lab.day import Day, Kind, Service, Trouble
 from lab.ledger import EVERYBODY, Breach, Ledger, Try
 from lab.membership import CONTROL, Cluster
+from lab.planned import Bounds
 from lab.simulation import Disk, EarlySocket, Host
 from lab.standins import Platform, Server
 from mallowworks.discovery import Address, ListConnection
@@ -45,6 +47,8 @@
 AGAIN_S, PATIENCE_S = 0.2, 3.0
 #: How often servers' connections are counted.
 COUNT_S = 0.2
+#: Each node that is ready gets so many requests on a route that was added, one each so often.
+VISITS, VISIT_EVERY_S = 5, 0.25
 #: After the last request has come, for the answers of those in hand.
 TAIL_S = 3.0
 
@@ -99,7 +103,7 @@
     def settings_of(self, name: str, ip: str, zone: str, core: bool) -> Settings:
         day = self.day
         envelope = Envelope(converge_ms=int(day.converge_s * 1000), drain_deadline_ms=int(day.drain_s * 1000),
-                            retry_ratio=day.retry_ratio, retry_window_s=day.retry_window_s,
+                            grace_period_s=day.grace_s, retry_ratio=day.retry_ratio, retry_window_s=day.retry_window_s,
                             retry_slack=day.retry_slack)
         return replace(super().settings_of(name, ip, zone, core), control=(ip, CONTROL), platform=PLATFORM,
                        readiness=None if core else (ip, READY), memory_mb=day.memory_mb, file_handles=4100,
@@ -213,7 +217,7 @@
 
     def channel(self, label: str, kind: Kind) -> dict[str, Any]:
         return {"label": label, "host": HOST_NAME, "prefix": f"/{label}/", "mode": kind.mode,
-                "cutoffMs": kind.deadline_ms, "setpointMs": kind.aim_ms, "rank": 0 if kind.worth > 1 else 1,
+                "cutoffMs": kind.cutoff, "setpointMs": kind.aim_ms, "rank": 0 if kind.worth > 1 else 1,
                 "tries": kind.tries, "plant": kind.service}
 
     async def push(self) -> float:
@@ -226,13 +230,14 @@
 
     async def settle(self, document: dict[str, Any], base: int) -> int:
         """Send a change until it has a clear answer: 200, or that it is refused."""
-        body = cbor2.dumps(document)
+        body, change = cbor2.dumps(document), self.ledger.planned.sends(self.loop.time())
         while True:
             machine, settings = self.chance.choice(self.machines)
             if machine.up:
                 with contextlib.suppress(OSError, EOFError, TimeoutError):
                     status = await self.post(settings, body, base)
                     if status in (200, 400, 409, 412, 413, 422):
+                        change.answered(status == 200, self.loop.time())
                         return status
             await asyncio.sleep(AGAIN_S)
 
@@ -268,19 +273,22 @@
         self.ledger.allowed[label].add(self.day.kinds[0].service)
         await self.push()
         await asyncio.sleep(self.day.converge_s)
-        if self.added[-1] != label:
-            return  # a later change has taken it away again
-        ready = [settings for _, settings in self.machines if self.misses.get(settings.node, MISSES) < MISSES]
-        await asyncio.gather(*(self.look(settings, label, gone) for settings in ready))
-
-    async def look(self, settings: Settings, label: str, gone: str) -> None:
+        self.ledger.added.add(label)
+        for number in range(VISITS):
+            if self.added[-1] != label:
+                return  # a later change has taken it away again
+            ready = [settings for _, settings in self.machines if self.misses.get(settings.node, MISSES) < MISSES]
+            await asyncio.gather(*(self.look(settings, label, gone, number) for settings in ready))
+            await asyncio.sleep(VISIT_EVERY_S)
+
+    async def look(self, settings: Settings, label: str, gone: str, number: int) -> None:
         for name, allowed in ((label, True), (gone, False)):
             if not name:
                 continue
-            ident = f"look-{name}-{settings.node}"
+            ident = f"look-{name}-{settings.node}-{number}"
             target = f"/{name}/{ident}".encode()
-            self.ledger.tries[ident] = Try(ident, name, True, settings.node, (b"GET", target, b""),
-                                           self.loop.time())
+            one = self.ledger.tries[ident] = Try(ident, name, True, settings.node, (b"GET", target, b""),
+                                                 self.loop.time())
             connection = ListConnection((settings.ip, FRONT))
             try:
                 async with asyncio.timeout(PATIENCE_S):
@@ -292,6 +300,7 @@
                 continue
             finally:
                 connection.close()
+            one.ended_s, one.status = self.loop.time(), answer.status
             if (answer.status == 404) == allowed and self.ledger.in_touch(settings.node, self.loop.time()):
                 self.ledger.breach("CONFIG", self.loop.time(), f"{settings.node} answers {answer.status} on {name}")
 
@@ -341,16 +350,18 @@
             host.context.copy().run(population.start)
 
     @contextlib.contextmanager
-    def out_of_touch(self, machines: Iterable[tuple[Host, Settings]]) -> Iterator[None]:
+    def out_of_touch(self, machines: Iterable[tuple[Host, Settings]], planned: bool = False) -> Iterator[None]:
         """While trouble is on these machines, and until `contact_s` after; the core's is everybody's."""
         names = {EVERYBODY if settings.front is None else settings.node for _, settings in machines}
         from_s = self.loop.time()
-        for name in names:
-            self.ledger.out[name].append((from_s, math.inf))
+        spans = [self.ledger.out] if planned else [self.ledger.out, self.ledger.troubled]
+        for name, by_name in itertools.product(sorted(names), spans):
+            by_name[name].append((from_s, math.inf))
         yield
-        for name in names:
-            self.ledger.out[name].remove((from_s, math.inf))
-            self.ledger.out[name].append((from_s, self.loop.time() + self.day.contact_s))
+        for name, by_name in itertools.product(sorted(names), spans):
+            after_s = self.day.contact_s if by_name is self.ledger.out else 0.0
+            by_name[name].remove((from_s, math.inf))
+            by_name[name].append((from_s, self.loop.time() + after_s))
 
     async def befall(self, trouble: Trouble) -> None:
         await asyncio.sleep(trouble.at)
@@ -359,7 +370,8 @@
 
     def outcome(self) -> Outcome:
         day, ledger = self.day, self.ledger
-        found = ledger.breaches(day.drain_s, day.retry_ratio, day.retry_window_s, day.retry_slack)
+        found = ledger.breaches(day.drain_s, day.retry_ratio, day.retry_window_s, day.retry_slack, Bounds(
+            grace_s=day.grace_s, converge_s=day.converge_s, contact_s=day.contact_s, loss_slack_s=day.loss_slack_s))
         found += [Breach("FAULT", 0.0, text) for text in self.net.faults]
         edges = [host for host, settings in self.machines if settings.front is not None]
         figures = {"worth": ledger.worth(), "worst windows": ledger.worst_windows(), "served": ledger.served()}
@@ -367,6 +379,7 @@
         figures |= {f"p{100 * share:g} ms": ledger.took_ms(share) for share in (0.5, 0.99, 0.999)}
         figures |= {"requests": float(len(ledger.wishes)),
                     "arrivals beyond the first": float(sum(len(ledger.extra(plant)) for plant in ledger.arrivals)),
+                    "held past the cut-off": float(len(ledger.held())), "price of these": ledger.price_of_held(),
                     "edge processor s": sum(host.worked_s * day.edge_share for host in edges),
                     "busiest edge kB": max(host.bytes for host in edges) / 1000}
         return Outcome(figures, found)
--- a/lab/simulation.py
+++ b/lab/simulation.py
@@ -181,6 +181,8 @@
         self.held: list[bytes] = []
         self.probe_s = PROBE_S
         self.inbox: deque[bytes] = deque()
+        self.written = self.read_so_far = 0
+        """Bytes that this side has sent, and that its reader has been given."""
         self.paused = False
         self.ended: Exception | None = None
         """How the other side has ended it, once what it sent before has been read."""
@@ -193,6 +195,7 @@
             return
         self.host.messages += 1
         self.host.bytes += len(data)
+        self.written += len(data)
         if self.net.refused(self.host, self.peer):
             self.end(ConnectionResetError("cut"))
         elif self.held or not self.net.open(self.host, self.peer):
@@ -245,7 +248,7 @@
             return
         host = self.host
         if host.work_s is None and not self.paused and not self.inbox:
-            self.protocol.data_received(data)
+            self.give(data)
             return
         self.inbox.append(data)
         if host.work_s is None:
@@ -255,9 +258,17 @@
         host.worked_s += cost_s
         self.net.loop.call_at(host.busy_until_s, self.read, context=host.context)
 
+    def give(self, data: bytes) -> None:
+        self.read_so_far += len(data)
+        self.protocol.data_received(data)
+
+    def delivered(self) -> bool:
+        """Whether the other side has read all that this one has sent."""
+        return self.other is not None and self.other.read_so_far >= self.written
+
     def read(self) -> None:
         while self.inbox and not self.shut and not self.paused:
-            self.protocol.data_received(self.inbox.popleft())
+            self.give(self.inbox.popleft())
             if self.host.work_s is not None:
                 break  # each piece has a turn of its own
         if self.ended is not None and not self.inbox and not self.shut:
--- a/lab/standins.py
+++ b/lab/standins.py
@@ -64,6 +64,10 @@
     return next((value for lower, _, value in message.headers if lower == name), None)
 
 
+def name_of(message: Message) -> str:
+    return (header(message, b"attempt-id") or b"").decode("latin-1")
+
+
 def named(message: Message) -> list[tuple[bytes, bytes]]:
     """The header by which an answer names its request."""
     return [(b"Attempt-Id", header(message, b"attempt-id") or b"")]
@@ -133,7 +137,7 @@
                           [(b"Server-Id", self.ident.encode()), self.load()])
         ident, target = header(message, b"attempt-id"), header(message, b"target-server")
         if self.loop.time() - self.rests.pop(connection, self.loop.time()) > self.forgets_s:
-            connection.transport.abort()
+            self.break_off(message, connection)
             return None
         if target is not None and target != self.ident.encode():
             return Answer(421, [*named(message), (b"Server-Id", self.ident.encode())])
@@ -181,18 +185,27 @@
 
     def end(self, message: Message, connection: ClientConnection, ill: str = "") -> None:
         self.running -= 1
+        if self.ledger is not None:
+            self.ledger.done(name_of(message), self.ident, self.loop.time())
         if ill == "reset" or self.chance.random() < self.loses:
-            connection.transport.abort()
+            self.break_off(message, connection)
         elif ill not in ("hang", "mute"):
             self.answer(message, connection, ill)
         if self.waiting and self.running < self.slots:
             self.begin(*self.waiting.pop(0), self.ill())
 
+    def break_off(self, message: Message, connection: ClientConnection) -> None:
+        if self.ledger is not None:
+            self.ledger.broke_off.add(name_of(message))
+        connection.transport.abort()
+
     def answer(self, message: Message, connection: ClientConnection, ill: str) -> None:
         status, self.failing = (500, self.failing - 1) if self.failing else (500 if ill == "errors" else 200, 0)
         seal = b"%s.%s" % (self.ident.encode(), header(message, b"attempt-id"))
         answer = Answer(status, [*named(message), (b"Server-Seal", seal), self.load()],
                         b"from %s: %s %s\n" % (self.ident.encode(), message.method, message.target))
+        if self.ledger is not None:
+            self.ledger.given[seal] = status
         if self.last_answer is not None and not connection.transport.is_closing() and (
                 self.chance.random() < self.repeats):
             connection.write(self.last_answer, close=False)
--- a/lab/troubles.py
+++ b/lab/troubles.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import replace
 from typing import TYPE_CHECKING, TypeVar
 
 from lab.day import Trouble
@@ -41,6 +42,7 @@
 
 
 def power_off(world: World, server: Server) -> None:
+    world.ledger.gone_s.setdefault(server.ident, world.loop.time())
     world.net.stop(world.hosts[server.ident])
 
 
@@ -153,13 +155,28 @@
                            for machine in some(world, machines(world, trouble.on), trouble.share)))
 
 
+def cut_off(world: World, machine: tuple[Host, Settings]) -> None:
+    """The process has ended: its connections with clients are reset by the machine."""
+    for frontend in world.nodes[machine[1].node].frontends:
+        for connection in [*frontend.connections]:
+            connection.transport.abort()
+
+
+async def ended(world: World, machine: tuple[Host, Settings]) -> None:
+    world.at(world.nodes[machine[1].node], cut_off, world, machine)
+    world.stop(*machine)
+    await asyncio.sleep(AGAIN_S)
+    world.start(*machine)
+
+
 async def roll_term(world: World, trouble: Trouble) -> None:
     """Machines are told to stop one after another, in order, and start again."""
     async def rolled(machine: tuple[Host, Settings]) -> None:
-        with world.out_of_touch([machine]):
-            node = world.nodes[machine[1].node]
-            await world.loop.create_task(node.stop(), context=machine[0].context.copy())
-            await killed(world, machine, AGAIN_S)
+        with world.out_of_touch([machine], planned=True):
+            world.ledger.planned.terms[machine[1].node].append(world.loop.time())
+            stop = world.loop.create_task(world.nodes[machine[1].node].stop(), context=machine[0].context.copy())
+            await asyncio.wait({stop}, timeout=world.day.grace_s)
+            await ended(world, machine)
     rolling = []
     for machine in some(world, machines(world, trouble.on), trouble.share):
         rolling.append(world.loop.create_task(rolled(machine)))
@@ -206,6 +223,17 @@
     await world.as_operator(world.change_routes)
 
 
+async def hup(world: World, trouble: Trouble) -> None:
+    """Settings files change, one after another: the seeds in another order, told by SIGHUP."""
+    for machine, settings in some(world, machines(world, trouble.on), trouble.share):
+        node = world.nodes.get(settings.node)
+        if machine.up and node is not None:
+            world.ledger.planned.hups[settings.node].append(world.loop.time())
+            seeds = tuple(world.net.chance.sample(settings.seeds, len(settings.seeds)))
+            world.at(node, node.take_up, replace(node.settings, seeds=seeds))
+        await asyncio.sleep(trouble.gap_s)
+
+
 async def config_race(world: World, trouble: Trouble) -> None:
     await world.as_operator(world.race)
 
@@ -213,4 +241,4 @@
 KINDS: dict[str, Callable[[World, Trouble], Awaitable[None]]] = {
     act.__name__: act for act in (
         srv_ill, srv_crash, srv_flap, release, scale_in, scale_out, idle_race, answer_lost, surplus, node_kill,
-        roll_term, power_off_all, zone_cut, lossy, burst, config_change, config_race, reuse)}
+        roll_term, power_off_all, zone_cut, lossy, burst, config_change, config_race, reuse, hup)}
