Let what the store's thread writes depend on nothing that the loop changes meanwhile

Cause: a write compared the marks of other members with what the loop believed to be on disk, which the thread may be ahead of; the digests that a view begins with, and the marks that a start had read, were the caller's own dicts. They held by rules elsewhere.

Tests: with the thread held still while the loop goes on, two of the three new tests failed before the change, and each copy left out again fails its test. The third, which lets both take turns after each microsecond, passed before too.

--- a/cypressbeam/store.py
+++ b/cypressbeam/store.py
@@ -116,7 +116,7 @@
         """The incarnation that the next write puts on disk."""
         self.noted: dict[str, Marks] = {}
         self.stored: dict[str, Marks] = {}
-        """The marks that are on disk."""
+        """The marks that were on disk when the loop last heard of it: the thread may be further on."""
 
     def _work(self) -> None:
         while (task := self.work.get()) is not None:
@@ -230,7 +230,7 @@
         except TornError as err:
             log.error("the state is torn: %s", err)
             found = await self.run(read_all, anew=True)
-        self.stored = self.noted = found.marks
+        self.stored, self.noted = dict(found.marks), dict(found.marks)
         self.raised = found.raised if found.raised != found.own else None
         return found
 
@@ -247,8 +247,7 @@
             if raised is not None:
                 database.executemany("insert or replace into meta values (?, ?)",
                                      [("incarnation", raised.incarnation), ("draw", raised.draw)])
-            if marks != self.stored:
-                database.execute("insert or replace into meta values ('marks', ?)", (pack_marks(marks),))
+            write_marks(database, marks)
         await self.run(save)
         self.stored = marks
         if raised is not None:
@@ -259,6 +258,8 @@
 
     async def save_view(self, view: View, entry: Entry | None, taken: dict[int, bytes]) -> None:
         """The view, and what it begins with in place of what was there."""
+        taken = dict(taken)  # the caller's may change before the thread gets to it
+
         def save(database: Any) -> None:
             write_promise(database, view.epoch)
             database.execute("delete from view")
@@ -303,6 +304,14 @@
     database.execute("update meta set value = max(value, ?) where key = 'promised'", (epoch,))
 
 
+def write_marks(database: Any, marks: dict[str, Marks]) -> None:
+    """Compared with what is on disk, not with what the loop knows of it: that may be older."""
+    packed = pack_marks(marks)
+    held = database.execute("select value from meta where key = 'marks'").fetchone()
+    if packed != (held[0] if held is not None else ""):
+        database.execute("insert or replace into meta values ('marks', ?)", (packed,))
+
+
 def write_taken(database: Any, taken: dict[int, bytes]) -> None:
     """These and no others; as a rule nearly all stand there already."""
     known = dict(database.execute("select revision, digest from taken"))
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -6,9 +6,12 @@
 import random
 import shutil
 import sqlite3
+import sys
 import tempfile
-from collections.abc import Callable
+import threading
+from collections.abc import Callable, Coroutine
 from pathlib import Path
+from typing import Any
 
 import pytest
 from hypothesis import given, settings
@@ -198,3 +201,95 @@
     database.close()
     with pytest.raises(StoreError, match="format 99"):
         load(files(tmp_path))
+
+
+# -- the loop and the store's thread, which take turns at any point --------------------------------------------------
+
+
+class Held:
+    """A store whose thread stands still until it is let go; then it does all that waits before the loop goes on."""
+
+    def __init__(self, folder: Path) -> None:
+        self.store = Store(folder)
+        self.may_go_on = threading.Event()
+
+    async def begin(self) -> Loaded:
+        found = await self.store.load()
+        await self.store.save_view(VIEW, None, {})
+        self.store.work.put(self.stand_still)
+        return found
+
+    def stand_still(self) -> None:
+        self.may_go_on.wait(5.0)
+
+    def let_go(self) -> None:
+        done = threading.Event()
+        self.may_go_on.set()
+        self.store.work.put(done.set)
+        assert done.wait(5.0)
+
+
+async def begun(work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+    task = asyncio.get_running_loop().create_task(work)
+    await asyncio.sleep(0)
+    return task
+
+
+def test_marks_that_go_back_while_a_write_is_under_way_are_written(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        held = Held(tmp_path)
+        await held.begin()
+        held.store.note({"10.0.0.9/x": Marks(1, 2, 300)})
+        one = await begun(held.store.save_promise(300))
+        held.store.note({})  # a view has let that member go
+        other = await begun(held.store.save_promise(301))
+        held.let_go()
+        await asyncio.gather(one, other)
+        close(held.store)
+    asyncio.run(scenario())
+    found = load(files(tmp_path))
+    assert found.promised == 301 and found.marks == {}
+
+
+def test_a_write_is_of_what_its_caller_had_when_it_was_begun(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        held = Held(tmp_path)
+        found = await held.begin()
+        taken = {10: b"ten"}
+        write = await begun(held.store.save_view(VIEW, None, taken))
+        taken[20] = b"twenty"
+        held.let_go()
+        await write
+        found.marks["10.0.0.2/b"] = Marks(1, 2)
+        assert held.store.note(found.marks)  # what the caller does with what it was given is not on disk
+        close(held.store)
+    asyncio.run(scenario())
+    assert load(files(tmp_path)).taken == {10: b"ten"}
+
+
+def test_the_loop_and_the_thread_may_take_turns_after_each_step(tmp_path: Path) -> None:
+    async def scenario() -> dict[str, Marks]:
+        store, marks, taken = Store(tmp_path), {"10.0.0.2/b": Marks(1, 2)}, dict.fromkeys(range(1, 400), b"mark")
+        await store.load()
+        writes = []
+        for number in range(1, 60):
+            store.note(marks)
+            writes.append(await begun(store.save_entry(entry(number)) if number % 3 else
+                                      store.save_view(VIEW, entry(number), taken)))
+            marks[f"10.0.1.{number}/n"] = Marks(number, number)
+            taken[1000 + number] = b"late"
+            marks.pop(f"10.0.1.{number - 2}/n", None)
+            if number % 10 == 0:
+                await asyncio.gather(*writes)
+        store.note(marks)
+        await asyncio.gather(*writes, store.save_promise(400))
+        close(store)
+        return marks
+    usual_s = sys.getswitchinterval()
+    sys.setswitchinterval(1e-6)
+    try:
+        marks = asyncio.run(scenario())
+    finally:
+        sys.setswitchinterval(usual_s)
+    found = load(files(tmp_path))
+    assert found.marks == marks and found.last == entry(59)
