--- a/cypressbeam/core.py
+++ b/cypressbeam/core.py
@@ -27,6 +27,7 @@
 from cypressbeam.listing import Server, read_page
 from cypressbeam.members import Members
 from cypressbeam.peers import Link
+from cypressbeam.quorum_loss import QuorumWatch
 from cypressbeam.relay import Relay
 from cypressbeam.roster import RENEW_S, Roster
 from cypressbeam.settings import Settings
@@ -173,6 +174,7 @@
         """Whom a machine that started anew tells of itself."""
         self.greeted_s = 0.0
         self.refused: set[str] = set()
+        self.quorum = QuorumWatch()
 
     # -- start ---------------------------------------------------------------------------------------------
 
@@ -380,6 +382,7 @@
             self.note_epoch()
             self.follow(now_s)
             self.keep_notes(self.keeper, now_s)
+            self.watch_quorum(self.keeper, now_s)
         if self.relay.is_root:
             self.roster.nodes[self.settings.node].seen_s = now_s
             for name in self.roster.expire(now_s):
@@ -388,6 +391,14 @@
             if now_s >= self.introduced_s + INTRODUCE_S:
                 self.introduce(now_s)
 
+    def watch_quorum(self, keeper: Keeper, now_s: float) -> None:
+        """Say so if a majority of the members is missing for long."""
+        group = keeper.view.group if keeper.view is not None and keeper.name in keeper.view.group else ()
+        heard = {ip: one.name for ip, one in keeper.heard.items() if keeper.heard_lately(ip, now_s)}
+        said = self.quorum.tick(group, heard | {keeper.ip: keeper.name}, now_s, keeper.refused)
+        if said is not None:
+            log.log(said.level, "%s", said.text)
+
     def introduce(self, now_s: float) -> None:
         """Tell the seeds who is the root, as far as they have not joined. After a loss of all power the seeds may be
         machines that know nobody, and all others ask them."""
@@ -483,7 +494,8 @@
         elif isinstance(frame, frames.StaleDisk):
             done = keeper.on_stale(frame, now_s)
         elif isinstance(frame, frames.Ask):
-            done = [Tell(frame.origin, members.describe(frame.ident, now_s)),
+            standing = members.describe(frame.ident, now_s)
+            done = [Tell(frame.origin, replace(standing, silent=self.quorum.silences() or standing.silent)),
                     Tell(frame.origin, keeper.state(frame.ident, now_s))]
         elif isinstance(frame, frames.Change):
             done = members.order(frame, now_s)
--- a/cypressbeam/operate.py
+++ b/cypressbeam/operate.py
@@ -87,7 +87,13 @@
         lines.append(f"  {member['ip']:15} epoch {member['epoch']}, revision {member['revision']},"
                      f" lag {member['lag']}, {'active' if member['active'] else 'not active'},"
                      f" disk {'works' if member['disk'] else 'refuses'}{', root' if member['root'] else ''}")
-    return "\n".join(lines)
+    return "\n".join([*lines, *describe_quorum_loss(told)])
+
+
+def describe_quorum_loss(told: dict[str, Any]) -> list[str]:
+    """Nothing while a majority of the core answers."""
+    loss = told.get("quorumLoss")
+    return [f"! {line}" for line in loss["text"]] if loss is not None else []
 
 
 # -- the members of the core ---------------------------------------------------------------------------------------
@@ -106,7 +112,8 @@
         quiet += f", not heard for {silent[ip]} s" if ip in silent else ""
         lines.append(f"  {name:32} {place}{quiet}")
     lines += [f"  {name:32} stands by" for name in told["standingBy"]]
-    return "\n".join([*lines, *([f"a replacement is under way: {told['waits']}"] if told["waits"] else [])])
+    lines += [f"a replacement is under way: {told['waits']}"] if told["waits"] else []
+    return "\n".join([*lines, *describe_quorum_loss(told)])
 
 
 async def change_members(where: Address, change: str, old: str, new: str,
--- a/cypressbeam/survey.py
+++ b/cypressbeam/survey.py
@@ -12,6 +12,7 @@
 
 from cypressbeam import frames
 from cypressbeam.chain import ip_of
+from cypressbeam.quorum_loss import judge, read_silences
 from mallowworks.frontend import ClientConnection
 from mallowworks.http import Answer
 
@@ -95,10 +96,22 @@
                    default=0)
         told = {"node": self.own(), "epoch": newest.epoch if newest else None,
                 "chain": newest.chain if newest else (), "group": newest.group if newest else (),
+                "quorumLoss": self.quorum_loss(question, newest),
                 "standingBy": sorted(question.standing_by), "silent": question.silent, "waits": question.waits,
                 "members": [describe(ip, question.answers.get(ip), head) for ip in sorted(question.asked)]}
         return Answer(200, [JSON], msgspec.json.encode(told))
 
+    def quorum_loss(self, question: Question, newest: frames.State | None) -> dict[str, Any] | None:
+        """Where no majority of the core answers, or none of it leads and one says that it hears no majority: what that
+        means and what to do. Where nobody answers, of the machines that were asked."""
+        group = newest.group if newest is not None else tuple(question.asked)
+        heard = {ip: state.name for ip, state in question.answers.items()}
+        silent_s = read_silences(question.silent)
+        if not any(state.flags & frames.ROOT for state in question.answers.values()):
+            heard = {ip: name for ip, name in heard.items() if ip not in silent_s}
+        loss = judge(group, heard, silent_s)
+        return {"here": loss.here, "missing": loss.missing, "text": loss.lines()} if loss is not None else None
+
 
 def describe(ip: str, state: frames.State | None, head: int) -> dict[str, Any]:
     """One machine of the core. Its lag is how many entries it is behind the newest on any disk of the chain."""
