--- a/lab/clients.py
+++ b/lab/clients.py
@@ -142,7 +142,7 @@
         return answer is not None and answer.status in PROMISES
 
     async def one_try(self, kind: Kind, ident: str, ends_s: float, met: set[str],
-                      fresh: bool) -> tuple[Answer | None, float]:
+                      fresh: bool, of_repeat: bool = False) -> tuple[Answer | None, float]:
         """The answer, if one came, and how long to wait before another try."""
         loop = asyncio.get_running_loop()
         nodes = self.nodes()
@@ -157,7 +157,8 @@
         message = (b"%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nTime-Left-Ms: %d\r\nContent-Length: %d\r\n\r\n%s"
                    % (method, target, self.host(kind).encode(), ident.encode(), left_ms, len(body), body))
         one = Try(ident, kind.name, kind.mode == "idempotent", node, (method, target, body), loop.time(),
-                  servers=kind.tries, ends_s=ends_s, cutoff_s=kind.cutoff / 1000, worth=kind.worth)
+                  servers=kind.tries, ends_s=ends_s, cutoff_s=kind.cutoff / 1000, worth=kind.worth,
+                  of_repeat=of_repeat)
         self.ledger.sends(one, self.services(kind))
         answer: Answer | None = None
         with contextlib.suppress(OSError, EOFError, TimeoutError):
--- a/lab/daily.py
+++ b/lab/daily.py
@@ -28,6 +28,8 @@
 #: Of each trouble that has one, the least and the most of its strength.
 STRENGTH = {"srv_ill": (0.1, 1.0), "idle_race": (0.1, 1.0), "answer_lost": (0.01, 0.3), "surplus": (0.01, 0.3),
             "lossy": (0.005, 0.05), "burst": (1.5, 4.0)}
+#: The share of days on which servers that book look something up by themselves.
+CALLS = 0.33
 #: Routes' cut-offs; 0: the deadline.
 CUTOFFS_MS = (0.0, 0.0, 2000.0, 4000.0)
 TRAFFIC_S, CALM_S, MOST_TROUBLES = 16.0, 4.0, 6
@@ -56,6 +58,8 @@
     troubles = tuple(trouble(chance, kinds_of_trouble) for _ in range(chance.randint(1, MOST_TROUBLES)))
     # The operator's bound is now the clients' deadline, now well below it.
     kinds = tuple(msgspec.structs.replace(kind, cutoff_ms=chance.choice(CUTOFFS_MS)) for kind in KINDS)
+    if chance.random() < CALLS:
+        kinds = tuple(msgspec.structs.replace(kind, calls="lookup" if kind.name == "booking" else "") for kind in kinds)
     return Day(name=f"drawn-{seed}", edges=chance.randint(4, 16), cores=chance.choice((3, 3, 5)),
                zones=chance.randint(2, 4), idle_routes=chance.choice((8, 8, 300)), traffic_s=TRAFFIC_S,
                services=SERVICES, kinds=kinds, troubles=troubles)
@@ -67,9 +71,9 @@
     try:
         world.run(world.play())
         found: Outcome = world.outcome()
-        calm_s = max((wish.began_s for wish in world.ledger.wishes), default=0.0) - CALM_S
+        calm_s = max((wish.began_s for wish in world.ledger.of_clients), default=0.0) - CALM_S
         held, tries = world.ledger.held(), len(world.ledger.tries)
-        calm = [wish for wish in world.ledger.wishes if wish.began_s > calm_s]
+        calm = [wish for wish in world.ledger.of_clients if wish.began_s > calm_s]
     finally:
         world.close()
     if found.breaches:
--- a/lab/day.py
+++ b/lab/day.py
@@ -51,6 +51,8 @@
     """Servers that one try may go to."""
     body: int = 0
     """Bytes that a request carries."""
+    calls: str = ""
+    """The kind of request that a server sends to the system midway through its work on this one."""
 
     @property
     def cutoff(self) -> float:
@@ -121,6 +123,10 @@
         for name in [what.service for what in self.kinds] + [what.service for what in self.troubles if what.service]:
             if name not in names:
                 return f"service {name!r} is not there; one of {', '.join(sorted(names))} is wanted"
+        kinds = {kind.name for kind in self.kinds}
+        for called in [kind.calls for kind in self.kinds if kind.calls]:
+            if called not in kinds:
+                return f"kind {called!r} is not there; one of {', '.join(sorted(kinds))} is wanted"
         return ""
 
 
--- a/lab/emulator.py
+++ b/lab/emulator.py
@@ -25,6 +25,7 @@
 from cypressbeam.node import GatewayNode
 from cypressbeam.settings import Envelope, Settings
 from lab import troubles
+from lab.calls import Calls
 from lab.clients import Population
 from lab.day import Day, Kind, Service, Trouble
 from lab.ledger import EVERYBODY, Breach, Ledger, Try
@@ -90,6 +91,7 @@
         self.added: list[str] = []
         """Labels of the routes that changes of the configuration have added, the newest last."""
         self.populations: list[Population] = []
+        self.calls = Calls(day.kinds, HOST_NAME, self.nodes_of, self.ledger, seed)
         self.works_s = {f"/{kind.name}/".encode(): kind.work_ms / 1000 for kind in day.kinds}
         self.born = 0
         self.operator = asyncio.Lock()
@@ -135,6 +137,7 @@
             server = Server(service.name, zone, service.slots, service.queue, ident=f"i-{self.born:05x}",
                             connections=service.connections, ledger=self.ledger, work_of=self.work_of,
                             chance=random.Random(f"{self.seed} server {self.born}"))
+            server.call_of = self.calls.of
             server.speed = server.chance.lognormvariate(0.0, service.spread)
             await server.listen(place.ip, SERVER_PORT)
             return server
@@ -377,7 +380,7 @@
         figures = {"worth": ledger.worth(), "worst windows": ledger.worst_windows(), "served": ledger.served()}
         figures |= {f"worth of {kind}": worth for kind, worth in ledger.by_kind().items()}
         figures |= {f"p{100 * share:g} ms": ledger.took_ms(share) for share in (0.5, 0.99, 0.999)}
-        figures |= {"requests": float(len(ledger.wishes)),
+        figures |= {"requests": float(len(ledger.of_clients)),
                     "arrivals beyond the first": float(sum(len(ledger.extra(plant)) for plant in ledger.arrivals)),
                     "held past the cut-off": float(len(ledger.held())), "price of these": ledger.price_of_held(),
                     "edge processor s": sum(host.worked_s * day.edge_share for host in edges),
--- a/lab/ledger.py
+++ b/lab/ledger.py
@@ -60,6 +60,8 @@
     cutoff_s: float = math.inf
     """The time-out of its route."""
     worth: float = 0.0
+    of_repeat: bool = False
+    """A call by a server's work on a request that had come to a server before."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -187,11 +189,12 @@
                 yield Breach("DRAIN", at_s, f"{server} got {ident} from {one.node}, {late_s:.2f} s too late")
 
     def extra(self, service: str) -> list[float]:
-        """When requests came to a service that had come to it, or to another one, before."""
+        """When requests came to a service that had come to it, or to another one, before; and calls by such work."""
         first: set[str] = set()
         extra = []
         for at_s, ident in sorted(self.arrivals[service]):
-            if ident in first:
+            one = self.tries.get(ident)
+            if ident in first or (one is not None and one.of_repeat):
                 extra.append(at_s)
             first.add(ident)
         return extra
@@ -246,7 +249,7 @@
         groups: dict[str, list[Wish]] = defaultdict(list)
         for wish in self.wishes:
             groups[f"calls of {wish.caller}" if wish.caller else wish.kind].append(wish)
-        everything = self.share_served([wish for wish in self.wishes if not wish.caller])
+        everything = self.served()
         for name, wishes in sorted(groups.items()):
             share = self.share_served(wishes)
             if share < STARVED * everything:
@@ -274,19 +277,23 @@
         owed = sum(wish.owed for wish in counted)
         return sum(wish.earned for wish in counted) / owed if owed else 1.0
 
+    @property
+    def of_clients(self) -> list[Wish]:
+        return [wish for wish in self.wishes if not wish.caller]
+
     def worst_windows(self) -> float:
         """The same over the two worst windows."""
         windows: dict[int, list[Wish]] = defaultdict(list)
-        for wish in self.wishes:
+        for wish in self.of_clients:
             windows[int(wish.began_s / WINDOW_S)].append(wish)
         return statistics.fmean(sorted(self.worth(wishes) for wishes in windows.values())[:2] or [1.0])
 
     def by_kind(self) -> dict[str, float]:
-        kinds = sorted({wish.kind for wish in self.wishes})
-        return {kind: self.worth([wish for wish in self.wishes if wish.kind == kind]) for kind in kinds}
+        kinds = sorted({wish.kind for wish in self.of_clients})
+        return {kind: self.worth([wish for wish in self.of_clients if wish.kind == kind]) for kind in kinds}
 
     def served(self) -> float:
-        return self.share_served(self.wishes)
+        return self.share_served(self.of_clients)
 
     @staticmethod
     def share_served(wishes: list[Wish]) -> float:
@@ -309,5 +316,5 @@
 
     def took_ms(self, share: float) -> float:
         """The time that this share of the served requests was answered within, milliseconds."""
-        took = sorted(wish.took_s for wish in self.wishes if wish.served)
+        took = sorted(wish.took_s for wish in self.of_clients if wish.served)
         return 1000 * took[min(int(share * len(took)), len(took) - 1)] if took else 0.0
--- a/lab/standins.py
+++ b/lab/standins.py
@@ -10,8 +10,9 @@
 import random
 import secrets
 import weakref
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 
 import cbor2
 
@@ -97,10 +98,13 @@
         self.plant, self.zone, self.slots, self.queue, self.work_s = plant, zone, slots, queue, work_s
         self.work_of, self.ledger, self.chance = work_of, ledger, chance or random.Random()
         self.speed = 1.0
+        self.call_of: Callable[[Server, Message], Coroutine[Any, Any, None] | None] = lambda server, message: None
+        """The call to the system that belongs to the work on a request, if there is one."""
         self.started_s = -math.inf
         """For the work's length: one that started long ago is warm."""
         self.history: list[tuple[float, str]] = [(-math.inf, "in_service")]
         self.running = 0
+        self.working: set[asyncio.Task[None]] = set()
         self.waiting: list[tuple[Message, ClientConnection]] = []
         self.ran: list[tuple[bytes, bytes, bytes, bytes]] = []
         """Attempt-Id, method, target and body of each request that ran."""
@@ -181,7 +185,21 @@
         if self.ledger is not None:
             self.ledger.ran(Run(ident.decode("latin-1"), self.ident, self.plant,
                                 (message.method, message.target, message.body), self.loop.time()))
-        self.loop.call_later(self.takes_s(message, ill), self.end, message, connection, ill)
+        takes_s, call = self.takes_s(message, ill), self.call_of(self, message)
+        if call is None:
+            self.loop.call_later(takes_s, self.end, message, connection, ill)
+        else:
+            task = self.loop.create_task(self.work_and_call(takes_s, call, message, connection, ill))
+            self.working.add(task)
+            task.add_done_callback(self.working.discard)
+
+    async def work_and_call(self, takes_s: float, call: Coroutine[Any, Any, None], message: Message,
+                            connection: ClientConnection, ill: str) -> None:
+        """With the call in the middle of the work."""
+        await asyncio.sleep(takes_s / 2)
+        await call
+        await asyncio.sleep(takes_s / 2)
+        self.end(message, connection, ill)
 
     def end(self, message: Message, connection: ClientConnection, ill: str = "") -> None:
         self.running -= 1
--- a/tests/test_ledger_rules.py
+++ b/tests/test_ledger_rules.py
@@ -11,7 +11,7 @@
 from cypressbeam import gate
 from cypressbeam.gate import Gate
 from cypressbeam.node import GatewayNode
-from lab.day import Day, Kind, Trouble
+from lab.day import Day, DayError, Kind, Trouble, read
 from lab.emulator import play
 from lab.ledger import Ledger, Run, Try, Wish
 from lab.planned import Bounds, Change
@@ -265,6 +265,31 @@
     assert broken(small()) == {"STARVED"}
 
 
+CALLING = small(kinds=(Kind(name="lookup", service="finder", per_s=25.0),
+                       Kind(name="booking", service="booker", mode="effectful", per_s=10.0, calls="lookup")))
+
+
+def test_a_day_finds_nodes_that_starve_the_calls_of_servers(monkeypatch: pytest.MonkeyPatch) -> None:
+    assert broken(CALLING) == set()
+    refuse(monkeypatch, lambda target: target.startswith(b"/lookup/call-"))
+    found = play(CALLING, 1)
+    assert [breach.text.split(":")[0] for breach in found.breaches] == ["calls of booking"]
+    assert found.figures["served"] > 0.95  # these are clients' requests alone
+
+
+def test_a_day_whose_servers_call_what_is_not_there_is_refused() -> None:
+    with pytest.raises(DayError, match="kind 'nix' is not there; one of lookup is wanted"):
+        read({"kinds": [{"name": "lookup", "service": "finder", "calls": "nix"}]}, "here")
+
+
+def test_calls_by_work_that_is_a_repeat_count_as_repeats() -> None:
+    ledger = Ledger()
+    for number in range(70):
+        asked(ledger, f"call-{number}", of_repeat=number < 61, status=200)
+        ledger.arrived(100.0 + number / 100, f"call-{number}", "i-1", "booker")
+    assert len(ledger.extra("booker")) == 61 and rules(ledger) == ["BUDGET"]
+
+
 # -- CONFIG: routes that were added ----------------------------------------------------------------------------------
 
 
