--- a/cypressbeam/admin/membership.py
+++ b/cypressbeam/admin/membership.py
@@ -11,7 +11,7 @@
 
 from cypressbeam.admin.calls import call, reason_of
 from cypressbeam.admin.errors import Refused
-from cypressbeam.admin.status import read_state
+from cypressbeam.admin.status import describe_quorum_loss, read_state
 from cypressbeam.chain import ip_of
 from cypressbeam.control import MEMBERS
 from mallowworks.discovery import Address
@@ -35,7 +35,8 @@
         quiet += f", not heard for {silent[ip]} s" if ip in silent else ""
         lines.append(f"  {name:32} {place}{quiet}")
     lines += [f"  {name:32} stands by" for name in told["standingBy"]]
-    return "\n".join([*lines, *([f"a replacement is under way: {told['waits']}"] if told["waits"] else [])])
+    lines += [f"a replacement is under way: {told['waits']}"] if told["waits"] else []
+    return "\n".join([*lines, *describe_quorum_loss(told)])
 
 
 async def change_members(where: Address, change: str, old: str, new: str,
--- a/cypressbeam/admin/status.py
+++ b/cypressbeam/admin/status.py
@@ -36,4 +36,10 @@
         lines.append(f"  {member['ip']:15} epoch {member['epoch']}, revision {member['revision']},"
                      f" lag {member['lag']}, {'active' if member['active'] else 'not active'},"
                      f" disk {'works' if member['disk'] else 'refuses'}{', root' if member['root'] else ''}")
-    return "\n".join(lines)
+    return "\n".join([*lines, *describe_quorum_loss(told)])
+
+
+def describe_quorum_loss(told: dict[str, Any]) -> list[str]:
+    """Lines on a missing majority of the core; none while one answers."""
+    loss = told.get("quorumLoss")
+    return [f"! {line}" for line in loss["text"]] if loss is not None else []
--- a/lab/clients.py
+++ b/lab/clients.py
@@ -23,6 +23,8 @@
 
 MOST_ANSWER = 1 << 20
 CONNECT_S = 1.0
+#: A machine reads of a long request what has come: at most so many bytes at once.
+PIECE = 16 * 1024
 #: Before a try that nobody asked to wait for: at most so long, at random.
 PAUSE_S = 0.2
 #: A promise may be followed by another try; of what can't be repeated nothing else may.
@@ -60,11 +62,16 @@
         if self.done is not None and not self.done.done():
             self.done.set_exception(EOFError("closed"))
 
+    def was_read(self) -> bool:
+        """Whether the node has read all that was sent to it."""
+        return bool(self.transport.delivered())
+
     async def call(self, message: bytes, most_s: float) -> Answer:
         """Raises EOFError where the connection ends first, TimeoutError where it takes longer."""
         self.reader.reset()
         self.done = asyncio.get_running_loop().create_future()
-        self.transport.write(message)
+        for at in range(0, len(message), PIECE):
+            self.transport.write(message[at:at + PIECE])
         async with asyncio.timeout(most_s):
             return await self.done
 
@@ -138,7 +145,7 @@
         return answer is not None and answer.status in PROMISES
 
     async def one_try(self, kind: Kind, ident: str, ends_s: float, met: set[str],
-                      fresh: bool) -> tuple[Answer | None, float]:
+                      fresh: bool, of_repeat: bool = False) -> tuple[Answer | None, float]:
         """The answer, if one came, and how long to wait before another try."""
         loop = asyncio.get_running_loop()
         nodes = self.nodes()
@@ -152,11 +159,13 @@
         left_ms = max(int(1000 * (ends_s - loop.time())), 1)
         message = (b"%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nTime-Left-Ms: %d\r\nContent-Length: %d\r\n\r\n%s"
                    % (method, target, self.host(kind).encode(), ident.encode(), left_ms, len(body), body))
-        one = Try(ident, kind.name, kind.mode == "idempotent", node, (method, target, body), loop.time())
+        one = Try(ident, kind.name, kind.mode == "idempotent", node, (method, target, body), loop.time(),
+                  servers=kind.tries, ends_s=ends_s, cutoff_s=kind.cutoff / 1000, worth=kind.worth,
+                  of_repeat=of_repeat)
         self.ledger.sends(one, self.services(kind))
         answer: Answer | None = None
         with contextlib.suppress(OSError, EOFError, TimeoutError):
-            answer = await self.exchange(node, nodes[node], message, ends_s, fresh)
+            answer = await self.exchange(one, nodes[node], message, fresh)
         one.ended_s = loop.time()
         if answer is None:
             return None, self.chance.uniform(0.0, PAUSE_S)
@@ -165,9 +174,9 @@
         told = answer.header(b"retry-after")
         return answer, float(told) if told is not None else self.chance.uniform(0.0, PAUSE_S)
 
-    async def exchange(self, node: str, address: Address, message: bytes, ends_s: float, fresh: bool) -> Answer:
+    async def exchange(self, one: Try, address: Address, message: bytes, fresh: bool) -> Answer:
         loop = asyncio.get_running_loop()
-        idle = self.idle[node]
+        idle = self.idle[one.node]
         wire = None
         while idle and not fresh and wire is None:
             kept = idle.pop()
@@ -176,8 +185,10 @@
             async with asyncio.timeout(CONNECT_S):
                 _, wire = await loop.create_connection(lambda: Wire(self.stray), *address)
         try:
-            answer = await wire.call(message, max(ends_s - loop.time(), 0.001))
+            one.asked_s = loop.time()
+            answer = await wire.call(message, max(one.ends_s - loop.time(), 0.001))
         except BaseException:
+            one.was_read = wire.was_read()
             wire.close()
             raise
         if wire.reader.keep_alive and self.chance.random() < self.kept:
@@ -190,11 +201,20 @@
         self.ledger.breach("MIXED", asyncio.get_running_loop().time(), "bytes on a connection where no request waits")
 
     def check(self, one: Try, answer: Answer) -> None:
-        """MIXED: a success has its server's seal and the whole body of the server's answer to this very request."""
+        """MIXED: a success has its server's seal and the whole body of the server's answer to this very request; a
+        failure that has a seal has the status that its server gave."""
         if answer.status >= 300:
+            self.check_failure(one, answer)
             return
         seal = answer.header(b"server-seal") or b""
         server, _, ident = seal.rpartition(b".")
         whole = b"from %s: %s %s\n" % (server, one.what[0], one.what[1])
         if ident != one.ident.encode() or answer.body != whole:
             self.ledger.breach("MIXED", one.ended_s or one.sent_s, f"{one.ident} got an answer sealed {seal!r}")
+
+    def check_failure(self, one: Try, answer: Answer) -> None:
+        for seal in [value for name, value in answer.headers if name.lower() == b"server-seal"]:
+            given = self.ledger.given.get(seal)
+            if given != answer.status or seal.rpartition(b".")[2] != one.ident.encode():
+                self.ledger.breach("MIXED", one.ended_s or one.sent_s,
+                                   f"{one.ident} got {answer.status} sealed {seal!r}, whose server gave {given}")
--- a/lab/day.py
+++ b/lab/day.py
@@ -41,6 +41,8 @@
     work_ms: float = 220.0
     aim_ms: float = 1200.0
     deadline_ms: float = 8000.0
+    cutoff_ms: float = 0.0
+    """The longest time that the operator wants a request held; 0: until its deadline."""
     worth: float = 1.0
     late_worth: float = 0.3
     repeats: int = 2
@@ -49,6 +51,12 @@
     """Servers that one try may go to."""
     body: int = 0
     """Bytes that a request carries."""
+    calls: str = ""
+    """The kind of request that a server sends to the system midway through its work on this one."""
+
+    @property
+    def cutoff(self) -> float:
+        return self.cutoff_ms or self.deadline_ms
 
 
 class Trouble(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -56,7 +64,7 @@
 
     kind: Literal["srv_ill", "srv_crash", "srv_flap", "release", "scale_in", "scale_out", "idle_race", "answer_lost",
                   "surplus", "node_kill", "roll_term", "power_off_all", "zone_cut", "lossy", "burst", "config_change",
-                  "config_race", "reuse"]
+                  "config_race", "reuse", "hup"]
     at: float = 0.0
     for_s: float = 5.0
     gap_s: float = 1.0
@@ -89,6 +97,10 @@
     """Whether nodes tell each other which servers fail."""
     contact_s: float = 5.0
     """A machine is out of touch until so long after its trouble."""
+    grace_s: float = 6.0
+    """After a SIGTERM a process gets so long to end."""
+    loss_slack_s: float = 0.2
+    """A connection may end so soon after a request was sent on it, if the request went to no server."""
     drain_s: float = 4.0
     converge_s: float = 4.0
     retry_ratio: float = 0.2
@@ -111,6 +123,10 @@
         for name in [what.service for what in self.kinds] + [what.service for what in self.troubles if what.service]:
             if name not in names:
                 return f"service {name!r} is not there; one of {', '.join(sorted(names))} is wanted"
+        kinds = {kind.name for kind in self.kinds}
+        for called in [kind.calls for kind in self.kinds if kind.calls]:
+            if called not in kinds:
+                return f"kind {called!r} is not there; one of {', '.join(sorted(kinds))} is wanted"
         return ""
 
 
--- a/lab/standins.py
+++ b/lab/standins.py
@@ -10,8 +10,9 @@
 import random
 import secrets
 import weakref
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 
 import cbor2
 
@@ -64,6 +65,10 @@
     return next((value for lower, _, value in message.headers if lower == name), None)
 
 
+def name_of(message: Message) -> str:
+    return (header(message, b"attempt-id") or b"").decode("latin-1")
+
+
 def named(message: Message) -> list[tuple[bytes, bytes]]:
     """The header by which an answer names its request."""
     return [(b"Attempt-Id", header(message, b"attempt-id") or b"")]
@@ -93,10 +98,13 @@
         self.plant, self.zone, self.slots, self.queue, self.work_s = plant, zone, slots, queue, work_s
         self.work_of, self.ledger, self.chance = work_of, ledger, chance or random.Random()
         self.speed = 1.0
+        self.call_of: Callable[[Server, Message], Coroutine[Any, Any, None] | None] = lambda server, message: None
+        """The call to the system that belongs to the work on a request, if there is one."""
         self.started_s = -math.inf
         """For the work's length: one that started long ago is warm."""
         self.history: list[tuple[float, str]] = [(-math.inf, "in_service")]
         self.running = 0
+        self.working: set[asyncio.Task[None]] = set()
         self.waiting: list[tuple[Message, ClientConnection]] = []
         self.ran: list[tuple[bytes, bytes, bytes, bytes]] = []
         """Attempt-Id, method, target and body of each request that ran."""
@@ -133,7 +141,7 @@
                           [(b"Server-Id", self.ident.encode()), self.load()])
         ident, target = header(message, b"attempt-id"), header(message, b"target-server")
         if self.loop.time() - self.rests.pop(connection, self.loop.time()) > self.forgets_s:
-            connection.transport.abort()
+            self.break_off(message, connection)
             return None
         if target is not None and target != self.ident.encode():
             return Answer(421, [*named(message), (b"Server-Id", self.ident.encode())])
@@ -177,22 +185,45 @@
         if self.ledger is not None:
             self.ledger.ran(Run(ident.decode("latin-1"), self.ident, self.plant,
                                 (message.method, message.target, message.body), self.loop.time()))
-        self.loop.call_later(self.takes_s(message, ill), self.end, message, connection, ill)
+        takes_s, call = self.takes_s(message, ill), self.call_of(self, message)
+        if call is None:
+            self.loop.call_later(takes_s, self.end, message, connection, ill)
+        else:
+            task = self.loop.create_task(self.work_and_call(takes_s, call, message, connection, ill))
+            self.working.add(task)
+            task.add_done_callback(self.working.discard)
+
+    async def work_and_call(self, takes_s: float, call: Coroutine[Any, Any, None], message: Message,
+                            connection: ClientConnection, ill: str) -> None:
+        """With the call in the middle of the work."""
+        await asyncio.sleep(takes_s / 2)
+        await call
+        await asyncio.sleep(takes_s / 2)
+        self.end(message, connection, ill)
 
     def end(self, message: Message, connection: ClientConnection, ill: str = "") -> None:
         self.running -= 1
+        if self.ledger is not None:
+            self.ledger.done(name_of(message), self.ident, self.loop.time())
         if ill == "reset" or self.chance.random() < self.loses:
-            connection.transport.abort()
+            self.break_off(message, connection)
         elif ill not in ("hang", "mute"):
             self.answer(message, connection, ill)
         if self.waiting and self.running < self.slots:
             self.begin(*self.waiting.pop(0), self.ill())
 
+    def break_off(self, message: Message, connection: ClientConnection) -> None:
+        if self.ledger is not None:
+            self.ledger.broke_off.add(name_of(message))
+        connection.transport.abort()
+
     def answer(self, message: Message, connection: ClientConnection, ill: str) -> None:
         status, self.failing = (500, self.failing - 1) if self.failing else (500 if ill == "errors" else 200, 0)
         seal = b"%s.%s" % (self.ident.encode(), header(message, b"attempt-id"))
         answer = Answer(status, [*named(message), (b"Server-Seal", seal), self.load()],
                         b"from %s: %s %s\n" % (self.ident.encode(), message.method, message.target))
+        if self.ledger is not None:
+            self.ledger.given[seal] = status
         if self.last_answer is not None and not connection.transport.is_closing() and (
                 self.chance.random() < self.repeats):
             connection.write(self.last_answer, close=False)
--- a/lab/troubles.py
+++ b/lab/troubles.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import replace
 from typing import TYPE_CHECKING, TypeVar
 
 from lab.day import Trouble
@@ -12,6 +13,7 @@
 from lab.standins import Illness, Server
 
 if TYPE_CHECKING:
+    from cypressbeam.node import GatewayNode
     from cypressbeam.settings import Settings
     from lab.emulator import World
 
@@ -41,6 +43,7 @@
 
 
 def power_off(world: World, server: Server) -> None:
+    world.ledger.gone_s.setdefault(server.ident, world.loop.time())
     world.net.stop(world.hosts[server.ident])
 
 
@@ -153,13 +156,32 @@
                            for machine in some(world, machines(world, trouble.on), trouble.share)))
 
 
+def cut_off(node: GatewayNode) -> None:
+    """The process has ended: its connections with clients are reset by the machine."""
+    for frontend in node.frontends:
+        for connection in [*frontend.connections]:
+            connection.transport.abort()
+
+
+async def ended(world: World, machine: tuple[Host, Settings], node: GatewayNode) -> None:
+    world.at(node, cut_off, node)
+    world.stop(*machine)
+    await asyncio.sleep(AGAIN_S)
+    world.start(*machine)
+
+
 async def roll_term(world: World, trouble: Trouble) -> None:
     """Machines are told to stop one after another, in order, and start again."""
     async def rolled(machine: tuple[Host, Settings]) -> None:
-        with world.out_of_touch([machine]):
-            node = world.nodes[machine[1].node]
-            await world.loop.create_task(node.stop(), context=machine[0].context.copy())
-            await killed(world, machine, AGAIN_S)
+        node = world.nodes.get(machine[1].node)
+        if node is None:
+            return  # another trouble has ended it
+        with world.out_of_touch([machine], planned=True):
+            world.ledger.planned.terms[machine[1].node].append(world.loop.time())
+            stop = world.loop.create_task(node.stop(), context=machine[0].context.copy())
+            await asyncio.wait({stop}, timeout=world.day.grace_s)
+            if world.nodes.get(machine[1].node) is node:
+                await ended(world, machine, node)
     rolling = []
     for machine in some(world, machines(world, trouble.on), trouble.share):
         rolling.append(world.loop.create_task(rolled(machine)))
@@ -206,6 +228,17 @@
     await world.as_operator(world.change_routes)
 
 
+async def hup(world: World, trouble: Trouble) -> None:
+    """Settings files change, one after another: the seeds in another order, told by SIGHUP."""
+    for machine, settings in some(world, machines(world, trouble.on), trouble.share):
+        node = world.nodes.get(settings.node)
+        if machine.up and node is not None:
+            world.ledger.planned.hups[settings.node].append(world.loop.time())
+            seeds = tuple(world.net.chance.sample(settings.seeds, len(settings.seeds)))
+            world.at(node, node.take_up, replace(node.settings, seeds=seeds))
+        await asyncio.sleep(trouble.gap_s)
+
+
 async def config_race(world: World, trouble: Trouble) -> None:
     await world.as_operator(world.race)
 
@@ -213,4 +246,4 @@
 KINDS: dict[str, Callable[[World, Trouble], Awaitable[None]]] = {
     act.__name__: act for act in (
         srv_ill, srv_crash, srv_flap, release, scale_in, scale_out, idle_race, answer_lost, surplus, node_kill,
-        roll_term, power_off_all, zone_cut, lossy, burst, config_change, config_race, reuse)}
+        roll_term, power_off_all, zone_cut, lossy, burst, config_change, config_race, reuse, hup)}
