Carry a replacement to its end though its member is back, and let orders go before it

Cause: the change that was due was forgotten once nobody was silent; a spare whose view became active a moment later left an even group. Found by reading. Tests: test_replacement.py, a spare added late, an order before what was begun, a change forgotten.

--- a/cypressbeam/core.py
+++ b/cypressbeam/core.py
@@ -534,7 +534,7 @@
             done = [Tell(frame.origin, replace(standing, silent=self.quorum.silences() or standing.silent)),
                     Tell(frame.origin, keeper.state(frame.ident, now_s))]
         elif isinstance(frame, frames.Change):
-            done = members.order(frame, now_s)
+            done = self.replacement.order(frame, now_s)
         elif isinstance(frame, frames.Level):
             done = members.on_level(frame, now_s)
         elif isinstance(frame, frames.Levelled):
--- a/cypressbeam/replacement.py
+++ b/cypressbeam/replacement.py
@@ -19,10 +19,14 @@
 from collections.abc import Callable, Iterable
 
 from cypressbeam import frames
-from cypressbeam.agreement import COUNTED, DEAD_S, EMPTY, STOOD_STILL_S, Action
+from cypressbeam.agreement import COUNTED, DEAD_S, EMPTY, MOST_PATIENCE, PROPOSAL_S, STOOD_STILL_S, Action
 from cypressbeam.chain import ip_of
 from cypressbeam.members import REMOVE, REPLACE, Change, Members, judge
 
+#: A change that was due is remembered for so long: the view that adds a spare may become active after the member that
+#: it was to replace is back.
+BEGUN_KEPT_S = PROPOSAL_S * MOST_PATIENCE
+
 
 class SilenceClock:
     """Since when others have not been heard, by a process that itself runs and is in contact."""
@@ -63,7 +67,8 @@
         self.replace_after_s = replace_after_s
         self.silence = SilenceClock()
         self.begun: Change | None = None
-        """The replacement that is under way, as this machine sees it."""
+        self.begun_s = 0.0
+        """The last change that was due, as this machine sees it, and when it was."""
         self.status = ""
         """What a replacement last waited for, for operators."""
 
@@ -100,7 +105,7 @@
             return []
         others = self.group() - {self.replica.ip}
         self.silence.update(others, self.replica.heard_lately, now_s)
-        change = self.begun = self.next_change(now_s)
+        change = self.next_change(now_s)
         if not self.members.heads(now_s):
             self.status = ""
             return []
@@ -111,11 +116,30 @@
         self.status = verdict.text
         return self.members.carry_on(verdict, now_s)
 
+    def order(self, frame: frames.Change, now_s: float) -> list[Action]:
+        """An order of an operator's, or of a member that leaves, goes before what was begun by itself: that may be
+        about to remove the very machine that the order adds."""
+        begun, ordered = self.begun, frozenset(frame.base)
+        if begun is not None and (frame.old, frame.new, ordered) != (begun.old, begun.new, begun.base):
+            self.begun = None
+        return self.members.order(frame, now_s)
+
     def next_change(self, now_s: float) -> Change | None:
         """The change of the group that is to be made by itself, if any."""
         begun, group = self.begun, self.group()
         if begun is not None and begun.kind == REPLACE and group == begun.base | {begun.new}:
             return self.rest_of(begun)
+        if begun is not None and group == begun.steps()[-1]:
+            self.begun = None
+        change = self.due(group, now_s)
+        if change is not None:
+            self.begun, self.begun_s = change, now_s
+        elif now_s - self.begun_s > BEGUN_KEPT_S:
+            self.begun = None
+        return change
+
+    def due(self, group: frozenset[str], now_s: float) -> Change | None:
+        """What the silence of a member asks for."""
         gone = self.silence.longest(self.replace_after_s, now_s) if self.replace_after_s else []
         if not gone:
             return None
--- a/lab/turnover.py
+++ b/lab/turnover.py
@@ -71,7 +71,7 @@
     def deliver(self, ip: str, frame: frames.Frame) -> None:
         here = self.members[ip]
         if isinstance(frame, frames.Change):
-            self.carry_out(ip, here.order(frame, self.now_s))
+            self.carry_out(ip, self.replacements[ip].order(frame, self.now_s))
         elif isinstance(frame, frames.Level):
             self.carry_out(ip, here.on_level(frame, self.now_s))
         elif isinstance(frame, frames.Levelled):
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -9,7 +9,7 @@
 
 from cypressbeam.chain import ip_of
 from cypressbeam.members import ADD, REMOVE, REPLACE, Change
-from cypressbeam.replacement import SilenceClock
+from cypressbeam.replacement import BEGUN_KEPT_S, SilenceClock
 from cypressbeam.settings import SettingsError, parse
 from lab import closing, repair, replacements
 from lab.replacements import FALSE_ALARM, PLANNED, UNPLANNED, Case
@@ -92,6 +92,38 @@
     assert here.rest_of(begun) == begun
 
 
+def test_a_spare_that_is_added_after_the_member_is_back_does_not_leave_an_even_group() -> None:
+    """The view that adds it was proposed before; nobody is silent any more when it becomes active."""
+    world = world_at_rest()
+    for _ in range(2):  # the first view is one of the same group: what was done on the old one the head has forgotten
+        head = head_of(world)
+        for ip in "abc":
+            world.replacements[ip].begun = Change(REPLACE, "b", "d", frozenset("abc"))
+            world.replacements[ip].begun_s = world.now_s
+        world.carry_out(head, world.members[head].step((*newest(world).group, "d/0"), world.now_s))
+        world.run(world.now_s + 1.5)
+    assert group_of(world) == "acd"
+
+
+def test_a_change_that_was_due_long_ago_is_forgotten() -> None:
+    """An operator who adds the same machine later means to."""
+    world = world_at_rest()
+    for ip in "abc":
+        world.replacements[ip].begun = Change(REPLACE, "b", "d", frozenset("abc"))
+        world.replacements[ip].begun_s = world.now_s - BEGUN_KEPT_S - 0.1
+    world.run(world.now_s + 0.5)
+    assert asks(world, ADD, "", "d", "abc") == 200 and group_of(world) == "abcd"
+
+
+def test_an_order_goes_before_what_was_begun_by_itself() -> None:
+    """A member that leaves asked for the machine that a false alarm had just removed: added and removed in turns."""
+    world = world_at_rest()
+    for ip in "abc":
+        world.replacements[ip].begun = Change(REPLACE, "d", "b", frozenset("acd"))
+        world.replacements[ip].begun_s = world.now_s
+    assert asks(world, ADD, "", "d", "abc") == 200 and group_of(world) == "abcd"
+
+
 def test_an_even_group_lets_its_silent_member_go() -> None:
     world = world_at_rest(replace_after_s=60.0)
     assert asks(world, ADD, "", "d", "abc") == 200 and group_of(world) == "abcd"
