Split the transfer of bodies into store, fetcher and chunk server

Now cypressbeam/blobs/: link (what is needed of connections, shares of the link), store, fetcher, server, and BlobTransfer that joins them, with a table from message to handler in place of the chain in Peers.take. Tests: imports and names only.

--- a/cypressbeam/bodies.py
+++ b/cypressbeam/blobs/fetcher.py
@@ -1,12 +1,8 @@
-"""Bodies by their digests: what this node holds, what it fetches from others, and what it hands out.
+"""The fetches of a node: bodies that are on their way here, in chunks, each from one source at a time.
 
-Frames between nodes name a body by its digest; whoever lacks it fetches it from whoever named it, over a connection
-beside the one for frames, so nothing small waits behind it. It comes packed (delta.py), in slices that the fetching
-side asks for a window at a time: so a thin link never holds more than a window of it. The handing side spaces its
-slices by its own link. A node that is still fetching hands on what it has so far; a fetch goes on where it stopped
-when it goes to another source. One that does not move is asked of others too: of those who have named it, then of
-those whom the tree does not need (`Bodies.others`). What does not match its digest is thrown away and fetched whole
-elsewhere.
+A fetch goes on where it stopped when it goes to another source. One that does not move is asked of others too: of those
+who have named it, then of those whom the tree does not need (`Fetcher.others`). What does not match its digest is
+thrown away and fetched whole elsewhere.
 """
 
 from __future__ import annotations
@@ -14,26 +10,16 @@
 import asyncio
 import logging
 import random
-from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Protocol
 
 from cypressbeam import delta, frames
+from cypressbeam.blobs.link import WINDOW_S, Connection, Connections
+from cypressbeam.blobs.store import BlobStore
 from cypressbeam.configuration import digest
 
 log = logging.getLogger(__name__)
 
-#: Bodies that are held, the newest (more where a machine has no clients: the core sees those of lost races too); and
-#: packed forms, of which children ask for one or two.
-KEPT, KEPT_CORE, PACKED_KEPT = 4, 12, 8
-#: Slices and windows are what the node's own link carries in so long, within bounds: a frame waits behind one slice of
-#: each transfer, and a window covers the way there and back.
-SLICE_S, WINDOW_S = 0.01, 0.06
-SLICE_BYTES = (2 * 1024, 32 * 1024)
-WINDOW_BYTES = (8 * 1024, 256 * 1024)
-#: Slices take at most this share of the link; requests have the rest, where a node carries any.
-LINK_SHARE, FREE_SHARE = 0.5, 0.9
 #: A fetch that has not moved for so long is asked of another source as well, and of a third after as long; then it has
 #: so many times the patience: a full link takes its time, and is not to be filled by asking. Each waits up to so much
 #: longer, so that those who wait for one source don't all turn to another in one moment. One without progress is over
@@ -46,31 +32,6 @@
 #: One that has been quiet for so long gives way to a source that is told of now, or to a newer version.
 QUIET_S = 0.3
 TICK_S = 0.1
-#: A packed body of so many bytes goes with the frame that names it: no larger than the smallest slice.
-BRIEF_BYTES = SLICE_BYTES[0]
-
-
-class Connection(Protocol):
-    """A connection to another node, as far as slices need it."""
-
-    @property
-    def ip(self) -> str: ...
-
-    @property
-    def transport(self) -> object | None:
-        """None: it is not up yet."""
-
-    def send(self, frame: frames.Frame) -> None: ...
-
-
-class Connections(Protocol):
-    """The node's connections to others."""
-
-    @property
-    def ip(self) -> str: ...
-
-    def bulk(self, ip: str) -> Connection:
-        """The connection out for slices."""
 
 
 @dataclass(slots=True)
@@ -104,64 +65,35 @@
     """How long the first slice took to come."""
 
     def begin_anew(self) -> None:
+        """Nothing of what has come counts."""
         self.got.clear()
         self.total, self.base, self.base_body = -1, b"", b""
 
 
-@dataclass(slots=True)
-class Serving:
-    """A body that a child fetches from here: its next slice begins at `at`, and goes at most up to `end`."""
-
-    bases: list[bytes]
-    at: int
-    end: int
-    base: bytes | None = None
-    """What it is packed on; None while that can't be told, for the body is on its way here itself."""
-
+class Fetcher:
+    """All fetches of one node."""
 
-class Bodies:
-    """All bodies of one node. `on_progress` gets the address of a node that has just sent a part of one."""
-
-    def __init__(self, peers: Connections, link_mbps: float, shared: bool) -> None:
-        self.peers = peers
-        self.chance = random.Random(peers.ip)
+    def __init__(self, connections: Connections, store: BlobStore, window: int, on_moved: Callable[[], None]) -> None:
+        """`on_moved` is called when a part of a body, or a whole one, has come: it may be handed on."""
+        self.connections = connections
+        self.store = store
+        self.window = window
+        self.on_moved = on_moved
+        self.chance = random.Random(connections.ip)
         self.loop = asyncio.get_running_loop()
-        per_s = link_mbps * 1e6 / 8
-        self.slice = int(min(max(per_s * SLICE_S, SLICE_BYTES[0]), SLICE_BYTES[1]))
-        self.window = int(min(max(per_s * WINDOW_S, WINDOW_BYTES[0]), WINDOW_BYTES[1]))
-        self.kept = KEPT if shared else KEPT_CORE
-        self.per_s = per_s * (LINK_SHARE if shared else FREE_SHARE)
-        self.held: OrderedDict[bytes, bytes] = OrderedDict()
-        self.packed: OrderedDict[tuple[bytes, bytes], bytes] = OrderedDict()
         self.fetches: dict[bytes, Fetch] = {}
-        self.serving: dict[tuple[Connection, bytes], Serving] = {}
-        """In the order in which they take turns."""
-        self.free_s = 0.0
-        """When the link has carried what was handed to it."""
-        self.pumping = False
         self.ticking = False
-        self.fetched_bytes = self.handed_bytes = 0
+        self.fetched_bytes = 0
         self.on_progress: Callable[[str], None] = lambda ip: None
+        """Gets the address of a node that has just sent a part of a body."""
         self.others: Callable[[], list[str]] = list
         """Whom to turn to for what nobody sends who has named it, the best first."""
 
-    # -- what is held --------------------------------------------------------------------------------------
-
-    def put(self, body: bytes) -> bytes:
-        """Hold a body, so that those who are told of it find it here; returns its digest."""
-        mark = digest(body)
-        self.held[mark] = body
-        self.held.move_to_end(mark)
-        while len(self.held) > self.kept:
-            self.held.popitem(last=False)
-        return mark
-
     def need(self, mark: bytes, source: str, then: Callable[[bytes], None], key: object = None) -> None:
         """Get a body: `then` is called with it, at once if it is here; of several with one key the last counts. A body
         that can't be got is given up without a word, for whoever has named it names it again."""
-        body = self.held.get(mark)
+        body = self.store.get(mark)
         if body is not None:
-            self.held.move_to_end(mark)
             then(body)
             return
         fetch = self.fetches.get(mark)
@@ -195,7 +127,7 @@
         fetch = self.fetches.get(mark)
         if fetch is not None and fetch.then.pop(key, None) is not None and not fetch.then:
             del self.fetches[mark]
-            self.pump()
+            self.on_moved()
 
     def how(self, mark: bytes) -> str:
         """How a fetch stands, for the log."""
@@ -207,21 +139,19 @@
                 f" {now_s - fetch.asked_s:.1f} s ago, begun {now_s - fetch.began_s:.1f} s ago; sources"
                 f" {' '.join(fetch.sources)}")
 
-    # -- fetching ------------------------------------------------------------------------------------------
-
     def ask(self, mark: bytes, fetch: Fetch) -> None:
         """Ask the first source for the next window."""
         now_s = fetch.asked_s = self.loop.time()
         waits_s = STALL_S if fetch.asked_again < 2 else STALL_S * PATIENCE
         fetch.due_s = now_s + waits_s * self.chance.uniform(1.0, 1.0 + JITTER)
-        link = self.peers.bulk(fetch.sources[0])
+        link = self.connections.bulk(fetch.sources[0])
         at = len(fetch.got)
         if link is fetch.link and link.transport is None and fetch.wanted == at + fetch.window:
             return  # what is asked of it already waits for its connection
         fetch.link, fetch.wanted = link, at + fetch.window
         bases = fetch.base
         if fetch.total < 0 and not fetch.whole:
-            bases = b"".join(self.held)
+            bases = b"".join(self.store.held)
         link.send(frames.Want(mark, bases, at, fetch.window))
 
     def ask_elsewhere(self, mark: bytes, fetch: Fetch) -> None:
@@ -234,6 +164,7 @@
         self.ask(mark, fetch)
 
     def tick(self) -> None:
+        """Look after all fetches, every `TICK_S` while there are any."""
         # The next one first: whatever one fetch does, the others go on.
         self.ticking = bool(self.fetches)
         if self.ticking:
@@ -247,15 +178,16 @@
                 self.ask_elsewhere(mark, fetch)
 
     def on_slice(self, link: Connection, frame: frames.Slice) -> None:
+        """A chunk has come."""
         fetch = self.fetches.get(frame.mark)
         if fetch is None:
             return
         if (frame.base, frame.total) != (fetch.base, fetch.total):
             if frame.at or (fetch.got and self.comes(frame.mark)):
                 return  # of another packed form: not its beginning, or not needed while the first one moves
-            if frame.base and frame.base not in self.held:
+            if frame.base and frame.base not in self.store.held:
                 return  # it has gone from here since it was named
-            fetch.base, fetch.total, fetch.base_body = frame.base, frame.total, self.held.get(frame.base, b"")
+            fetch.base, fetch.total, fetch.base_body = frame.base, frame.total, self.store.held.get(frame.base, b"")
             fetch.got.clear()
         if frame.at != len(fetch.got):
             return  # it came twice, or after one that was lost with its connection
@@ -271,7 +203,7 @@
             return
         if len(fetch.got) >= fetch.wanted - fetch.window // 2:
             self.ask_on(link, frame.mark, fetch)
-        self.pump()
+        self.on_moved()
 
     def ask_on(self, link: Connection, mark: bytes, fetch: Fetch) -> None:
         """Half of what was asked for has come. At a full link, where a window takes long, there may be more of it on
@@ -305,6 +237,7 @@
             self.ask(frame.mark, fetch)
 
     def finish(self, mark: bytes, fetch: Fetch) -> None:
+        """All bytes have come: unpack them, and compare the digest."""
         try:
             body = delta.unpack(bytes(fetch.got), fetch.base_body)
             if digest(body) != mark:
@@ -315,127 +248,35 @@
             fetch.whole = True
             self.ask_elsewhere(mark, fetch)
             return
-        self.keep_packed((mark, fetch.base), bytes(fetch.got))
+        self.store.keep_packed((mark, fetch.base), bytes(fetch.got))
         self.arrived(mark, body)
 
     def arrived(self, mark: bytes, body: bytes) -> None:
         """It is here: whoever waits for it gets it, and may hand it on."""
         fetch = self.fetches.pop(mark, None)
-        self.put(body)
+        self.store.put(body)
         for then in [*fetch.then.values()] if fetch is not None else []:
             then(body)
-        self.pump()
-
-    def brief(self, mark: bytes, base: bytes) -> bytes:
-        """A held body packed on another one, if that is little; else nothing."""
-        found = self.form(mark, base) if base in self.held and mark in self.held and mark != base else None
-        return bytes(found[0]) if found is not None and found[1] <= BRIEF_BYTES else b""
+        self.on_moved()
 
     def open_brief(self, mark: bytes, base: bytes, data: bytes) -> bytes | None:
         """The body that a frame brought packed; None where its base is not here, or where it is not what its digest
         says: it is to be fetched then."""
-        if base not in self.held:
+        if base not in self.store.held:
             return None
         try:
-            body = delta.unpack(data, self.held[base])
+            body = delta.unpack(data, self.store.held[base])
             if digest(body) != mark:
                 raise delta.Broken("it is not what its digest says")
         except delta.Broken as err:
             log.error("body %s, brief: %s", mark.hex()[:8], err)
             return None
-        self.keep_packed((mark, base), data)
+        self.store.keep_packed((mark, base), data)
         self.arrived(mark, body)
         return body
 
-    # -- handing out ---------------------------------------------------------------------------------------
-
-    def keep_packed(self, key: tuple[bytes, bytes], data: bytes) -> bytes:
-        self.packed[key] = data
-        self.packed.move_to_end(key)
-        while len(self.packed) > PACKED_KEPT:
-            self.packed.popitem(last=False)
-        return data
-
-    def on_want(self, link: Connection, frame: frames.Want) -> None:
-        """A node wants a part of a body, and names what it has that might serve as a base."""
-        bases = [frame.bases[at:at + frames.DIGEST] for at in range(0, len(frame.bases), frames.DIGEST)]
-        key = (link, frame.mark)
-        serving = self.serving.get(key)
-        if serving is not None and serving.end == frame.at and serving.base == frame.bases:
-            serving.end += frame.length
-        else:
-            self.serving[key] = Serving(bases, frame.at, frame.at + frame.length)
-        self.pump()
-
-    def settle_base(self, mark: bytes, serving: Serving) -> None:
-        """Choose what a body is packed on: the newest that both sides have, or what it comes packed on here, which can
-        be handed on as it comes. One that goes on names only the base that it has begun with; where that is not here
-        it begins anew."""
-        fetch = self.fetches.get(mark)
-        if mark in self.held:
-            serving.base = next((base for base in reversed(serving.bases) if base in self.held and base != mark), b"")
-        elif fetch is not None and fetch.total >= 0 and (not fetch.base or fetch.base in serving.bases):
-            serving.base = fetch.base
-        if serving.base is not None and serving.at and serving.bases != [serving.base] and (
-                serving.base or serving.bases):
-            serving.at, serving.end = 0, serving.end - serving.at
-
-    def form(self, mark: bytes, base: bytes) -> tuple[bytes | bytearray, int] | None:
-        """A packed body, as much of it as is here, and its size in all; None if there is none, or its size is not
-        known yet."""
-        data = self.packed.get((mark, base))
-        if data is None and mark in self.held and (not base or base in self.held):
-            data = self.keep_packed((mark, base), delta.pack(self.held[mark], self.held[base] if base else b""))
-        if data is not None:
-            return data, len(data)
-        fetch = self.fetches.get(mark)
-        if fetch is not None and fetch.base == base and fetch.total >= 0:
-            return fetch.got, fetch.total
-        return None
-
-    def pump(self) -> None:
-        """Hand out slices, one of each transfer in turn, no faster than the link carries them."""
-        if self.pumping:
-            return
-        while (ready := self.next_ready()) is not None:
-            now_s = self.loop.time()
-            if self.free_s > now_s + 0.001:
-                self.pumping = True
-                self.loop.call_later(self.free_s - now_s, self.pump_again)
-                return
-            (link, mark), serving, part, total = ready
-            self.serving[link, mark] = self.serving.pop((link, mark))  # to the end of the turns
-            assert serving.base is not None
-            link.send(frames.Slice(mark, serving.base, total, serving.at, part))
-            serving.at += len(part)
-            self.handed_bytes += len(part)
-            self.free_s = max(self.free_s, now_s) + len(part) / self.per_s
-            if serving.at >= total:
-                self.serving.pop((link, mark), None)
-
-    def pump_again(self) -> None:
-        self.pumping = False
-        self.pump()
-
-    def next_ready(self) -> tuple[tuple[Connection, bytes], Serving, bytes, int] | None:
-        """The next transfer that has something to send now, with its slice and the size of the whole."""
-        for key, serving in [*self.serving.items()]:
-            if serving.base is None:
-                self.settle_base(key[1], serving)
-            found = self.form(key[1], serving.base) if serving.base is not None else None
-            if found is None:
-                if key[1] not in self.fetches:
-                    del self.serving[key]
-                    key[0].send(frames.Lacking(key[1]))
-                continue
-            data, total = found
-            part = bytes(data[serving.at:min(serving.end, serving.at + self.slice)])
-            if part:
-                return key, serving, part, total
-        return None
-
     def link_lost(self, link: Connection) -> None:
-        self.serving = {key: serving for key, serving in self.serving.items() if key[0] is not link}
+        """What was asked for on a connection does not come any more."""
         for fetch in self.fetches.values():
             if fetch.link is link:
                 fetch.link = None
--- /dev/null
+++ b/cypressbeam/blobs/transfer.py
@@ -0,0 +1,33 @@
+"""The blob transfer of one node: joins what it holds, what it fetches and what it hands out."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from cypressbeam import frames
+from cypressbeam.blobs.fetcher import Fetcher
+from cypressbeam.blobs.link import Connection, Connections, LinkRate
+from cypressbeam.blobs.server import ChunkServer
+from cypressbeam.blobs.store import KEPT, KEPT_CORE, BlobStore
+
+
+class BlobTransfer:
+    """Its parts, and the messages that go to each."""
+
+    def __init__(self, connections: Connections, link_mbps: float, shared: bool) -> None:
+        """`shared`: the link also carries clients' requests."""
+        rate = LinkRate.of(link_mbps, shared)
+        self.store = BlobStore(KEPT if shared else KEPT_CORE)
+        self.fetcher = Fetcher(connections, self.store, rate.window_bytes, lambda: self.server.pump())
+        self.server = ChunkServer(self.store, self.fetcher, rate)
+        self.handlers: dict[type[frames.Frame], Callable[[Connection, Any], None]] = {
+            frames.Slice: lambda link, frame: self.fetcher.on_slice(link, frame),
+            frames.Want: lambda link, frame: self.server.on_want(link, frame),
+            frames.Lacking: lambda link, frame: self.fetcher.on_lacking(link, frame),
+        }
+
+    def link_lost(self, link: Connection) -> None:
+        """A connection is over."""
+        self.server.link_lost(link)
+        self.fetcher.link_lost(link)
--- a/cypressbeam/distribution/configuration_replica.py
+++ b/cypressbeam/distribution/configuration_replica.py
@@ -1,7 +1,7 @@
 """The replica of the committed configuration that goes down the distribution tree.
 
 A parent names a version (`News`), or sends what it changes (`Update`); the body is fetched from it in slices beside
-that (bodies.py). Bodies are fetched one at a time, so that each is the base of the next.
+that (blobs/). Bodies are fetched one at a time, so that each is the base of the next.
 Invariant: the revision never falls.
 """
 
@@ -12,7 +12,8 @@
 from dataclasses import dataclass, replace
 
 from cypressbeam import frames
-from cypressbeam.bodies import BRIEF_BYTES, Bodies
+from cypressbeam.blobs.fetcher import Fetcher
+from cypressbeam.blobs.store import BRIEF_BYTES, BlobStore
 from cypressbeam.distribution.context import NodeContext
 from cypressbeam.distribution.fencing import EpochFence
 from cypressbeam.peers import Link
@@ -21,7 +22,7 @@
 
 #: A node that has been behind the newest version for so long says so in its log, once.
 BEHIND_S = 1.0
-#: Under which key the replica's fetches stand in `Bodies`.
+#: Under which key the replica's fetches stand in `Fetcher`.
 FETCH_KEY = "news"
 
 
@@ -29,8 +30,8 @@
     """The fetch of the newest body, and of one before it that did not move. On a full link nothing would ever come in a
     storm of versions, if each put an end to the one before."""
 
-    def __init__(self, bodies: Bodies) -> None:
-        self.bodies = bodies
+    def __init__(self, fetcher: Fetcher) -> None:
+        self.fetcher = fetcher
         self.mark = b""
         """The digest of the body that is on its way here, or nothing."""
         self.elder = b""
@@ -40,22 +41,22 @@
         """Whether a body may be fetched now, for none before it is on its way and moves."""
         if not self.mark or self.mark == mark:
             return True
-        if self.bodies.comes(self.mark):
+        if self.fetcher.comes(self.mark):
             return False
-        if self.bodies.sought(self.elder):
-            self.bodies.drop(self.mark, FETCH_KEY)
+        if self.fetcher.sought(self.elder):
+            self.fetcher.drop(self.mark, FETCH_KEY)
         else:
             self.elder = self.mark
         return True
 
     def end(self) -> None:
         """The body is here, or wanted no more."""
-        self.bodies.drop(self.mark, FETCH_KEY)
+        self.fetcher.drop(self.mark, FETCH_KEY)
         self.mark = b""
 
     def end_elder(self) -> None:
         """The newest body is here: the one before it is wanted no more."""
-        self.bodies.drop(self.elder, FETCH_KEY)
+        self.fetcher.drop(self.elder, FETCH_KEY)
         self.elder = b""
 
 
@@ -107,14 +108,19 @@
         self.newest = (0, b"")
         """The newest version that was told of: its revision, and its body's digest."""
         self.announced = Announced()
-        self.transfer = Transfer(context.peers.bodies)
+        self.transfer = Transfer(context.peers.blobs.fetcher)
         self.lag = Lag()
         self.on_committed: Callable[[int, bytes], None] = lambda revision, body: None
 
     @property
-    def bodies(self) -> Bodies:
-        """All bodies of the node."""
-        return self.context.peers.bodies
+    def store(self) -> BlobStore:
+        """All bodies that the node holds."""
+        return self.context.peers.blobs.store
+
+    @property
+    def fetcher(self) -> Fetcher:
+        """All fetches of the node."""
+        return self.context.peers.blobs.fetcher
 
     # -- to children ---------------------------------------------------------------------------------------
 
@@ -123,7 +129,7 @@
         newest, mark = self.newest if self.transfer.mark else (self.revision, b"")
         if newest <= revision:
             return None
-        mark = mark or self.bodies.put(self.body)
+        mark = mark or self.store.put(self.body)
         if not self.transfer.mark and revision == self.announced.base and self.announced.message is not None:
             return replace(self.announced.message, epoch=self.standing())
         return frames.News(newest, mark, self.standing())
@@ -132,9 +138,9 @@
         """A committed configuration. One that is not newer is no news: a node never goes back."""
         if revision <= self.revision:
             return
-        before, former = self.revision, self.bodies.put(self.body) if self.body else b""
+        before, former = self.revision, self.store.put(self.body) if self.body else b""
         self.revision, self.body = revision, body
-        mark = self.bodies.put(body)
+        mark = self.store.put(body)
         if revision > self.newest[0]:
             self.newest = (revision, mark)
         if revision == self.newest[0]:
@@ -148,7 +154,7 @@
 
     def announce(self, mark: bytes, before: int, former: bytes) -> None:
         """Tell children of the version that is here, in what it changes where that is little."""
-        brief = self.bodies.brief(mark, former)
+        brief = self.store.brief(mark, former)
         message = (frames.Update(self.revision, mark, former, brief, self.standing()) if brief
                    else frames.News(self.revision, mark, self.standing()))
         self.announced = Announced(message, before)
@@ -168,7 +174,7 @@
             log.warning("node %s: an update of %d bytes for %d", link.ip, len(frame.data), len(frame.mark))
             link.close()
         elif not self.fence.rejects(link, frame.epoch) and self.wants(frame.revision, frame.mark):
-            body = self.bodies.open_brief(frame.mark, frame.base, frame.data)
+            body = self.fetcher.open_brief(frame.mark, frame.base, frame.data)
             if body is None:
                 self.fetch(link.ip)
             else:
@@ -191,7 +197,7 @@
         if self.transfer.mark != mark:
             self.transfer.mark = mark
             self.tell(frames.News(revision, mark, self.standing()))
-        self.bodies.need(mark, source, lambda body: self.take(revision, body, source), key=FETCH_KEY)
+        self.fetcher.need(mark, source, lambda body: self.take(revision, body, source), key=FETCH_KEY)
 
     def take(self, revision: int, body: bytes, source: str) -> None:
         """A body is here; the next one may be wanted already."""
@@ -201,7 +207,7 @@
 
     def lacks(self, revision: int) -> bool:
         """Whether a revision is neither here nor coming."""
-        coming = self.newest[0] if self.bodies.comes(self.transfer.mark) else self.revision
+        coming = self.newest[0] if self.fetcher.comes(self.transfer.mark) else self.revision
         return revision > coming
 
     def note_behind(self, revision: int) -> None:
@@ -213,4 +219,4 @@
         if self.lag.is_to_report(now_s):
             log.warning("behind for %.1f s: version %d is here, %d is known of, %d in force; %s",
                         now_s - self.lag.since_s, self.revision, self.newest[0], revision,
-                        self.bodies.how(self.transfer.mark))
+                        self.fetcher.how(self.transfer.mark))
--- a/cypressbeam/frames/__init__.py
+++ b/cypressbeam/frames/__init__.py
@@ -2,7 +2,7 @@
 
 On a stream a frame is its length and code, then fields in the order of its class. Numbers are in network order; a text
 has 2 bytes of length before it, a blob 4, a list of texts 2 bytes of count. A configuration's body goes by its digest:
-a node that lacks it fetches it beside the frame (bodies.py).
+a node that lacks it fetches it beside the frame (`cypressbeam.blobs`).
 
 | module | messages |
 | --- | --- |
--- a/cypressbeam/frames/blobs.py
+++ b/cypressbeam/frames/blobs.py
@@ -1,4 +1,4 @@
-"""Messages of the blob transfer: bodies of configurations in chunks, on a connection of their own (bodies.py)."""
+"""Messages of the blob transfer: bodies in chunks, on a connection of their own (`cypressbeam.blobs`)."""
 
 from __future__ import annotations
 
--- a/cypressbeam/peers.py
+++ b/cypressbeam/peers.py
@@ -10,7 +10,7 @@
 from typing import Any, cast
 
 from cypressbeam import frames
-from cypressbeam.bodies import Bodies
+from cypressbeam.blobs.transfer import BlobTransfer
 
 log = logging.getLogger(__name__)
 
@@ -66,7 +66,7 @@
 
     def send(self, frame: frames.Frame) -> None:
         if body := frame.body_field():
-            self.peers.bodies.put(body)
+            self.peers.blobs.store.put(body)
         self.send_packed(frame.pack())
 
     def send_packed(self, data: bytes) -> None:
@@ -119,7 +119,7 @@
             self.close()
             return
         if mark := frame.body_field():
-            self.peers.bodies.need(mark, self.ip, lambda whole: self.hand(replace(cast(Any, frame), body=whole)),
+            self.peers.blobs.fetcher.need(mark, self.ip, lambda whole: self.hand(replace(cast(Any, frame), body=whole)),
                                    key=(kind, body))
         else:
             self.hand(frame)
@@ -180,7 +180,7 @@
         """`shared`: the link also carries clients' requests."""
         self.loop = asyncio.get_running_loop()
         self.ip = ip
-        self.bodies = Bodies(self, link_mbps, shared)
+        self.blobs = BlobTransfer(self, link_mbps, shared)
         self.local = LocalLink(self, ip)
         self.port = port
         self.on_frame = on_frame
@@ -198,14 +198,8 @@
         self.server = await self.loop.create_server(lambda: Link(self, ""), self.ip, self.port)
 
     def take(self, link: Link, frame: frames.Frame) -> None:
-        if isinstance(frame, frames.Slice):
-            self.bodies.on_slice(link, frame)
-        elif isinstance(frame, frames.Want):
-            self.bodies.on_want(link, frame)
-        elif isinstance(frame, frames.Lacking):
-            self.bodies.on_lacking(link, frame)
-        else:
-            self.on_frame(link, frame)
+        handler = self.blobs.handlers.get(type(frame), self.on_frame)
+        handler(link, frame)
 
     def to(self, ip: str, lane: int = SMALL) -> Link:
         """The connection out to a node; it comes up by itself."""
@@ -303,7 +297,7 @@
         self.links.discard(link)
         if self.out.get((link.ip, link.lane)) is link:
             del self.out[link.ip, link.lane]
-        self.bodies.link_lost(link)
+        self.blobs.link_lost(link)
         self.on_lost(link)
 
     def close(self) -> None:
--- a/cypressbeam/relay.py
+++ b/cypressbeam/relay.py
@@ -52,8 +52,8 @@
                                                   self.position.standing, self.subscription.parent_ip)
         self.servers = ServerListReplica()
         self.feed = Feed(self.position, self.children, self.configuration, self.servers)
-        peers.bodies.on_progress = self.subscription.on_heard
-        peers.bodies.others = self.body_sources
+        peers.blobs.fetcher.on_progress = self.subscription.on_heard
+        peers.blobs.fetcher.others = self.body_sources
 
     def handlers(self) -> Handlers:
         """The messages of the tree, but for `Join`, which is the core's at the root."""
--- a/lab/fetches.py
+++ b/lab/fetches.py
@@ -18,7 +18,7 @@
 import cbor2
 
 from cypressbeam import delta, frames
-from cypressbeam.bodies import Bodies
+from cypressbeam.blobs.fetcher import Fetcher
 from cypressbeam.node import GatewayNode
 from cypressbeam.peers import Link
 from lab.membership import Cluster
@@ -27,7 +27,7 @@
 
 EDGES, CORES, ROUTES, MORE_ROUTES = 40, 5, 400, 1200
 EDGE_MBPS, CORE_MBPS = 2.75, 30.0
-#: What a node may be behind beside the time that its link takes for the body, at half its rate (bodies.LINK_SHARE), and
+#: What a node may be behind beside the time that its link takes for the body, at half its rate (link.LINK_SHARE), and
 #: for what waits there, there and back.
 BOUND_S = 2.0
 #: Uploads keep so many seconds of a link waiting, both ways; how often that changes, and the share of the nodes.
@@ -109,8 +109,8 @@
             def on_want(link: Link, frame: frames.Want, usual: Callable[[Link, frames.Want], None]) -> None:
                 if link.ip not in edges:
                     usual(link, frame)
-            bodies = node.peers.bodies
-            bodies.on_want = functools.partial(on_want, usual=bodies.on_want)  # type: ignore[method-assign]
+            server = node.peers.blobs.server
+            server.on_want = functools.partial(on_want, usual=server.on_want)  # type: ignore[method-assign]
 
     def lose_a_relay(self) -> None:
         """The one that feeds the most loses its power."""
@@ -236,13 +236,13 @@
 @contextlib.contextmanager
 def fault(name: str) -> Iterator[None]:
     """With what bounds a fetch left out: it is asked of its first source alone. None for any other name."""
-    saved = Bodies.ask_elsewhere
+    saved = Fetcher.ask_elsewhere
     try:
         if name == FAULT:
-            Bodies.ask_elsewhere = Bodies.ask  # type: ignore[method-assign]
+            Fetcher.ask_elsewhere = Fetcher.ask  # type: ignore[method-assign]
         yield
     finally:
-        Bodies.ask_elsewhere = saved  # type: ignore[method-assign]
+        Fetcher.ask_elsewhere = saved  # type: ignore[method-assign]
 
 
 def table(seeds: int) -> tuple[str, bool]:
--- a/tests/test_fetches.py
+++ b/tests/test_fetches.py
@@ -9,8 +9,9 @@
 import pytest
 import uvloop
 
-from cypressbeam import bodies, delta, frames, peers
-from cypressbeam.bodies import Bodies
+from cypressbeam import delta, frames, peers
+from cypressbeam.blobs import fetcher
+from cypressbeam.blobs.fetcher import Fetcher
 from cypressbeam.configuration import digest
 from cypressbeam.peers import BULK, Peers
 from lab import fetches
@@ -20,7 +21,7 @@
 
 def cut_off(line: Line, number: int) -> None:
     """A node's transfers stand still: it hears what is wanted and sends nothing."""
-    line.peers[number].bodies.on_want = lambda link, frame: None  # type: ignore[method-assign]
+    line.peers[number].blobs.server.on_want = lambda link, frame: None  # type: ignore[method-assign]
 
 
 @pytest.mark.parametrize("policy", [uvloop.new_event_loop, asyncio.new_event_loop])
@@ -67,7 +68,7 @@
         made(self, transport)
     monkeypatch.setattr(peers.Knock, "connection_made", connection_made)
     got: list[bytes] = []
-    line.need(0, line.peers[1].bodies.put(b"body"), 1, got)
+    line.need(0, line.peers[1].blobs.store.put(b"body"), 1, got)
     line.run(0.2)
     assert begun == [1] and got == [b"body"]
 
@@ -75,10 +76,10 @@
 def test_a_connection_that_is_over_and_was_never_told_so_is_lost_when_written_to() -> None:
     line = Line(2)
     got: list[bytes] = []
-    line.need(0, line.peers[1].bodies.put(b"first"), 1, got)
+    line.need(0, line.peers[1].blobs.store.put(b"first"), 1, got)
     line.run(0.1)
     line.peers[0].out[line.hosts[1].ip, BULK].transport.vanish()  # type: ignore[union-attr]
-    line.need(0, line.peers[1].bodies.put(b"second"), 1, got)
+    line.need(0, line.peers[1].blobs.store.put(b"second"), 1, got)
     line.run(0.7)
     assert got == [b"first", b"second"]
 
@@ -87,12 +88,12 @@
     line = Line(3)
     body = bytes(line.net.chance.getrandbits(8) for _ in range(60_000))
     got: list[bytes] = []
-    mark = line.peers[0].bodies.put(body)
-    line.peers[1].bodies.put(body)
+    mark = line.peers[0].blobs.store.put(body)
+    line.peers[1].blobs.store.put(body)
     cut_off(line, 0)
-    line.peers[2].bodies.others = lambda: [line.hosts[0].ip, line.hosts[1].ip]
+    line.peers[2].blobs.fetcher.others = lambda: [line.hosts[0].ip, line.hosts[1].ip]
     line.need(2, mark, 0, got)
-    line.run(bodies.STALL_S * (1 + bodies.JITTER) + 60_000 * 8e-6 / (2.75 / 2) + 0.3)
+    line.run(fetcher.STALL_S * (1 + fetcher.JITTER) + 60_000 * 8e-6 / (2.75 / 2) + 0.3)
     assert got == [body]
 
 
@@ -100,16 +101,16 @@
     line = Line(3)
     body = bytes(line.net.chance.getrandbits(8) for _ in range(60_000))
     got: list[bytes] = []
-    mark = line.peers[0].bodies.put(body)
-    line.peers[1].bodies.put(body)
-    line.peers[2].bodies.others = lambda: [line.hosts[1].ip]
+    mark = line.peers[0].blobs.store.put(body)
+    line.peers[1].blobs.store.put(body)
+    line.peers[2].blobs.fetcher.others = lambda: [line.hosts[1].ip]
     line.need(2, mark, 0, got)
     line.run(0.15)
-    line.peers[0].bodies.serving.clear()
+    line.peers[0].blobs.server.serving.clear()
     cut_off(line, 0)
     line.run(1.2)
-    assert got == [body] and line.peers[1].bodies.handed_bytes < 60_000
-    assert line.peers[2].bodies.fetched_bytes == len(delta.pack(body))
+    assert got == [body] and line.peers[1].blobs.server.handed_bytes < 60_000
+    assert line.peers[2].blobs.fetcher.fetched_bytes == len(delta.pack(body))
 
 
 def test_another_packed_form_does_not_put_an_end_to_one_that_moves() -> None:
@@ -120,12 +121,12 @@
     line.need(2, mark, 0, got)
     line.run(0.1)
     link = line.peers[2].bulk(line.hosts[0].ip)
-    line.at(2, line.peers[2].bodies.on_slice, link, frames.Slice(mark, b"", 100, 0, b"twenty bytes of them"))
-    line.at(2, line.peers[2].bodies.on_slice, link, frames.Slice(mark, b"", 90, 0, b"other"))
-    fetch = line.peers[2].bodies.fetches[mark]
+    line.at(2, line.peers[2].blobs.fetcher.on_slice, link, frames.Slice(mark, b"", 100, 0, b"twenty bytes of them"))
+    line.at(2, line.peers[2].blobs.fetcher.on_slice, link, frames.Slice(mark, b"", 90, 0, b"other"))
+    fetch = line.peers[2].blobs.fetcher.fetches[mark]
     assert (fetch.total, len(fetch.got)) == (100, 20)
-    line.run(bodies.QUIET_S + 0.05)  # and takes the place of one that does not
-    line.at(2, line.peers[2].bodies.on_slice, link, frames.Slice(mark, b"", 90, 0, b"other"))
+    line.run(fetcher.QUIET_S + 0.05)  # and takes the place of one that does not
+    line.at(2, line.peers[2].blobs.fetcher.on_slice, link, frames.Slice(mark, b"", 90, 0, b"other"))
     assert (fetch.total, len(fetch.got)) == (90, 5)
 
 
@@ -133,11 +134,11 @@
     """After a cut the bytes on it are sent again only after seconds; frames go over a new connection meanwhile."""
     line = Line(2)
     got: list[bytes] = []
-    line.need(0, line.peers[1].bodies.put(b"first"), 1, got)
+    line.need(0, line.peers[1].blobs.store.put(b"first"), 1, got)
     line.run(0.1)
     hung = line.peers[0].out[line.hosts[1].ip, BULK].transport
     hung.write = lambda data: None  # type: ignore[union-attr, method-assign]
-    line.need(0, line.peers[1].bodies.put(b"second"), 1, got)
+    line.need(0, line.peers[1].blobs.store.put(b"second"), 1, got)
     for _ in range(30):
         line.at(1, line.peers[1].send, line.hosts[0].ip, frames.Suspect("heard"))
         line.run(0.1)
@@ -147,18 +148,18 @@
 def test_a_fetch_that_fails_does_not_end_the_others(monkeypatch: pytest.MonkeyPatch) -> None:
     line = Line(3)
     got: list[bytes] = []
-    mark = line.peers[1].bodies.put(b"body")
+    mark = line.peers[1].blobs.store.put(b"body")
     cut_off(line, 0)
     line.need(2, digest(b"never"), 0, got)
     line.need(2, mark, 0, got)
-    line.peers[2].bodies.others = lambda: [line.hosts[1].ip]
-    usual = Bodies.ask
+    line.peers[2].blobs.fetcher.others = lambda: [line.hosts[1].ip]
+    usual = Fetcher.ask
 
-    def ask(self: Bodies, wanted: bytes, fetch: bodies.Fetch) -> None:
+    def ask(self: Fetcher, wanted: bytes, fetch: fetcher.Fetch) -> None:
         if wanted != mark and fetch.asked_again == 1:
             raise RuntimeError("as it was seen")
         usual(self, wanted, fetch)
-    monkeypatch.setattr(Bodies, "ask", ask)
+    monkeypatch.setattr(Fetcher, "ask", ask)
     line.net.loop.run_until_complete(asyncio.sleep(3.0))
     assert got == [b"body"]
 
@@ -174,11 +175,11 @@
 def test_a_small_change_goes_with_its_news_and_is_fetched_by_nobody() -> None:
     cluster = fleet()
     try:
-        before = [node.peers.bodies.handed_bytes for node in cluster.nodes.values() if node.relay.children]
-        held = {node: node.peers.bodies.fetched_bytes for node in cluster.edges}
+        before = [node.peers.blobs.server.handed_bytes for node in cluster.nodes.values() if node.relay.children]
+        held = {node: node.peers.blobs.fetcher.fetched_bytes for node in cluster.edges}
         cluster.order()
         assert cluster.run(cluster.known_by_all()) < 0.2
-        assert before and held == {node: node.peers.bodies.fetched_bytes for node in cluster.edges}
+        assert before and held == {node: node.peers.blobs.fetcher.fetched_bytes for node in cluster.edges}
         assert not cluster.net.faults
     finally:
         cluster.close()
@@ -191,13 +192,13 @@
         child = next(node for node in cluster.edges if node.relay.parent is not None)
         root, body = cluster.root, cluster.configuration(2)
         assert child.relay.parent is not None and root is not None
-        base = child.relay.configuration.bodies.put(child.relay.configuration.body)
+        base = child.relay.configuration.store.put(child.relay.configuration.body)
         data = delta.pack(cluster.configuration(3) if wrong.startswith("not") else body, child.relay.configuration.body)
         frame = frames.Update(2, digest(body), digest(b"x") if wrong == "no such base" else base,
                               b"spoilt" if wrong == "spoilt" else data, child.relay.epoch)
         for node in cluster.nodes.values():
-            node.relay.configuration.bodies.put(body)
-        child.relay.configuration.bodies.held.pop(digest(body))
+            node.relay.configuration.store.put(body)
+        child.relay.configuration.store.held.pop(digest(body))
         cluster.at(child, child.relay.configuration.on_update, child.relay.parent, frame)
         cluster.run(asyncio.sleep(0.5))
         assert (child.relay.revision, child.relay.configuration.body) == (2, body)
@@ -230,13 +231,13 @@
         assert parent is not None
         source = next(node for node in cluster.nodes.values() if node.settings.ip == parent.ip)
         for node in cluster.nodes.values():
-            node.peers.bodies.on_want = lambda link, frame: None  # type: ignore[method-assign]
+            node.peers.blobs.server.on_want = lambda link, frame: None  # type: ignore[method-assign]
         replica, epoch = child.relay.configuration, child.relay.epoch
         cluster.at(child, replica.on_news, parent, frames.News(2, digest(b"nobody sends it"), epoch))
-        cluster.run(asyncio.sleep(bodies.QUIET_S + 0.1))
-        del source.peers.bodies.on_want
+        cluster.run(asyncio.sleep(fetcher.QUIET_S + 0.1))
+        del source.peers.blobs.server.on_want
         body = cluster.configuration(3)
-        mark = source.relay.configuration.bodies.put(body)
+        mark = source.relay.configuration.store.put(body)
         cluster.at(child, replica.on_news, parent, frames.News(3, mark, child.relay.epoch))
         cluster.run(asyncio.sleep(0.3))
         assert child.relay.revision == 3
@@ -249,7 +250,7 @@
     try:
         child = next(node for node in cluster.edges if node.relay.parent is not None)
         for node in cluster.nodes.values():
-            node.peers.bodies.on_want = lambda link, frame: None  # type: ignore[method-assign]
+            node.peers.blobs.server.on_want = lambda link, frame: None  # type: ignore[method-assign]
         cluster.routes += 2000  # no small change
         with caplog.at_level(logging.WARNING, logger="cypressbeam.distribution.configuration_replica"):
             for node in cluster.nodes.values():
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -13,7 +13,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cypressbeam import bodies, delta, frames
+from cypressbeam import delta, frames
+from cypressbeam.blobs import fetcher, link
 from cypressbeam.configuration import digest
 from cypressbeam.peers import BULK, CONNECT_TIMEOUT_S, Link, Peers
 from lab.membership import Cluster
@@ -93,7 +94,7 @@
         self.hosts[number].context.copy().run(what, *args)
 
     def need(self, number: int, mark: bytes, source: int, into: list[bytes]) -> None:
-        self.at(number, self.peers[number].bodies.need, mark, self.hosts[source].ip, into.append)
+        self.at(number, self.peers[number].blobs.fetcher.need, mark, self.hosts[source].ip, into.append)
 
     def run(self, for_s: float) -> None:
         self.net.loop.run_until_complete(asyncio.sleep(for_s))
@@ -110,7 +111,7 @@
     orders = [frame for number, frame, _ in line.got if isinstance(frame, frames.Order)]
     assert orders and all(order.body == body for order in orders)
     size = len(delta.pack(body))
-    assert line.peers[1].bodies.fetched_bytes == line.peers[0].bodies.handed_bytes == size
+    assert line.peers[1].blobs.fetcher.fetched_bytes == line.peers[0].blobs.server.handed_bytes == size
     assert line.hosts[0].bytes < size * 1.1 + 5000
 
 
@@ -119,15 +120,15 @@
     old, new = routes(1500), routes(1500, 2, changed=9)
     got: list[bytes] = []
     for peers in line.peers:
-        peers.bodies.put(old)
-    line.need(1, line.peers[0].bodies.put(new), 0, got)
+        peers.blobs.store.put(old)
+    line.need(1, line.peers[0].blobs.store.put(new), 0, got)
     line.run(0.5)
-    assert got == [new] and line.peers[1].bodies.fetched_bytes < 400
+    assert got == [new] and line.peers[1].blobs.fetcher.fetched_bytes < 400
 
 
 def test_a_frame_does_not_wait_behind_a_body() -> None:
     line = Line(2)
-    line.need(1, line.peers[0].bodies.put(bytes(range(256)) * 4000), 0, [])
+    line.need(1, line.peers[0].blobs.store.put(bytes(range(256)) * 4000), 0, [])
     sent_s = []
     for _ in range(20):
         sent_s.append(line.net.loop.time())
@@ -142,14 +143,14 @@
     chance = line.net.chance
     body = bytes(chance.getrandbits(8) for _ in range(60_000))
     got: list[bytes] = []
-    mark = line.peers[0].bodies.put(body)
+    mark = line.peers[0].blobs.store.put(body)
     began_s = line.net.loop.time()
     for number in range(1, 5):
         line.need(number, mark, 0, got)
     while len(got) < 4:
         line.run(0.02)
     took_s = line.net.loop.time() - began_s
-    least_s = 4 * len(body) / (MBPS * 1e6 / 8 * bodies.LINK_SHARE)
+    least_s = 4 * len(body) / (MBPS * 1e6 / 8 * link.LINK_SHARE)
     assert least_s * 0.95 <= took_s <= least_s * 1.2
 
 
@@ -157,13 +158,13 @@
     line = Line(4)
     body = bytes(line.net.chance.getrandbits(8) for _ in range(60_000))
     got: list[bytes] = []
-    mark = line.peers[0].bodies.put(body)
+    mark = line.peers[0].blobs.store.put(body)
     began_s = line.net.loop.time()
     for number in range(1, 4):
         line.need(number, mark, number - 1, got)
     while len(got) < 3:
         line.run(0.02)
-    alone_s = len(body) / (MBPS * 1e6 / 8 * bodies.LINK_SHARE)
+    alone_s = len(body) / (MBPS * 1e6 / 8 * link.LINK_SHARE)
     assert line.net.loop.time() - began_s < 1.5 * alone_s  # and not three times as long
 
 
@@ -171,17 +172,17 @@
     line = Line(3)
     body = bytes(line.net.chance.getrandbits(8) for _ in range(60_000))
     got: list[bytes] = []
-    mark = line.peers[0].bodies.put(body)
-    line.peers[1].bodies.put(body)
+    mark = line.peers[0].blobs.store.put(body)
+    line.peers[1].blobs.store.put(body)
     line.need(2, mark, 0, got)
     line.run(0.2)
-    begun = line.peers[2].bodies.fetched_bytes
+    begun = line.peers[2].blobs.fetcher.fetched_bytes
     assert 0 < begun < len(body)
     line.net.stop(line.hosts[0])
     line.need(2, mark, 1, got)
     line.run(3.0)
     assert got == [body, body] or got == [body]
-    assert line.peers[2].bodies.fetched_bytes <= len(delta.pack(body))
+    assert line.peers[2].blobs.fetcher.fetched_bytes <= len(delta.pack(body))
 
 
 def test_a_body_that_is_not_what_its_digest_says_is_fetched_elsewhere() -> None:
@@ -189,12 +190,12 @@
     body, other = routes(300), routes(300, 3)
     got: list[bytes] = []
     mark = digest(body)
-    line.peers[0].bodies.held[mark] = other  # a node whose memory lies
-    line.peers[1].bodies.put(body)
+    line.peers[0].blobs.store.held[mark] = other  # a node whose memory lies
+    line.peers[1].blobs.store.put(body)
     line.need(2, mark, 0, got)
     line.need(2, mark, 1, got)
     line.run(5.0)
-    assert got and set(got) == {body} and line.peers[2].bodies.held[mark] == body
+    assert got and set(got) == {body} and line.peers[2].blobs.store.held[mark] == body
 
 
 def test_a_body_that_its_source_has_no_more_is_given_up_at_once() -> None:
@@ -203,7 +204,7 @@
     got: list[bytes] = []
     line.need(1, digest(b"gone"), 0, got)
     line.run(0.1)
-    assert not got and not line.peers[1].bodies.fetches
+    assert not got and not line.peers[1].blobs.fetcher.fetches
 
 
 def test_a_body_that_nobody_sends_is_given_up() -> None:
@@ -211,8 +212,8 @@
     got: list[bytes] = []
     line.net.stop(line.hosts[0])
     line.need(1, digest(b"never"), 0, got)
-    line.run(bodies.GIVE_UP_S + 1.0)
-    assert not got and not line.peers[1].bodies.fetches
+    line.run(fetcher.GIVE_UP_S + 1.0)
+    assert not got and not line.peers[1].blobs.fetcher.fetches
 
 
 def test_a_version_that_has_gone_does_not_hold_up_the_newest() -> None:
@@ -245,14 +246,14 @@
 def test_odd_frames_about_bodies_neither_take_a_node_down_nor_change_what_it_holds(odd: list[frames.Frame]) -> None:
     line = Line(2)
     got: list[bytes] = []
-    line.peers[0].bodies.put(b"body")
-    line.peers[1].bodies.put(b"base")
+    line.peers[0].blobs.store.put(b"body")
+    line.peers[1].blobs.store.put(b"base")
     line.need(1, digest(b"body"), 0, got)
     for frame in odd:
         line.at(0, lambda frame=frame: line.peers[0].bulk(line.hosts[1].ip).send(frame))
     line.run(9.0)
-    assert set(got) <= {b"body"} and line.peers[1].bodies.held[digest(b"base")] == b"base"
-    kinds = Counter(len(mark) for mark in line.peers[1].bodies.held)
+    assert set(got) <= {b"body"} and line.peers[1].blobs.store.held[digest(b"base")] == b"base"
+    kinds = Counter(len(mark) for mark in line.peers[1].blobs.store.held)
     assert kinds.keys() == {frames.DIGEST} and BULK != 0
 
 
--- a/tests/test_thin_links.py
+++ b/tests/test_thin_links.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from cypressbeam import bodies, delta
+from cypressbeam import delta
+from cypressbeam.blobs import link
 from cypressbeam.peers import Link, Peers
 from lab import news
 
@@ -43,10 +44,10 @@
         return self.to(ip)
     monkeypatch.setattr(delta, "pack", whole)
     monkeypatch.setattr(Peers, "bulk", on_the_same)
-    monkeypatch.setattr(bodies, "SLICE_BYTES", (1 << 24, 1 << 24))
-    monkeypatch.setattr(bodies, "WINDOW_BYTES", (1 << 24, 1 << 24))
-    monkeypatch.setattr(bodies, "LINK_SHARE", 1e9)
-    monkeypatch.setattr(bodies, "FREE_SHARE", 1e9)
+    monkeypatch.setattr(link, "SLICE_BYTES", (1 << 24, 1 << 24))
+    monkeypatch.setattr(link, "WINDOW_BYTES", (1 << 24, 1 << 24))
+    monkeypatch.setattr(link, "LINK_SHARE", 1e9)
+    monkeypatch.setattr(link, "FREE_SHARE", 1e9)
     found = rows(kills=False)
     assert sum(row.silences for row in found.values() if "root" not in row.case) > 0
     drain_s = found["a server drains amid those"].drain_s
