Take outlier reports out of the node into a class of their own

GatewayNode had the reports of failing servers beside start, stop and dispatch; they are distribution/outlier_reports.py now, with its own entries in the table of handlers.

--- a/cypressbeam/distribution/__init__.py
+++ b/cypressbeam/distribution/__init__.py
@@ -13,4 +13,6 @@
 | `heartbeats` | the root's heartbeats, and keep-alives |
 | `configuration_replica` | the configuration, and its fetch |
 | `server_list_replica` | the list of servers |
+| `position`, `feed` | what follows from these: whether to search for the root, what each child is sent |
+| `outlier_reports` | reports of servers that fail, up the tree, and the root's findings, down it |
 """
--- a/cypressbeam/node.py
+++ b/cypressbeam/node.py
@@ -8,7 +8,6 @@
 import signal
 import socket
 from collections.abc import Mapping
-from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -16,13 +15,13 @@
 from cypressbeam.chain import Tell
 from cypressbeam.control import Control
 from cypressbeam.core import Core, Founding
+from cypressbeam.distribution.outlier_reports import OutlierReports
 from cypressbeam.gate import OVERFLOW, Gate
 from cypressbeam.peers import Link, Peers
 from cypressbeam.relay import Handlers, Relay
 from cypressbeam.settings import VARIABLE, Settings, SettingsError, load
 from cypressbeam.store import Storage, Store
 from cypressbeam.survey import Survey
-from cypressbeam.verdicts import Verdicts
 from cypressbeam.watch import Watch
 from mallowworks.discovery import Address
 from mallowworks.frontend import ClientConnection, Frontend, readiness
@@ -47,9 +46,6 @@
 ALONE_S = 3.0
 #: How often the settings file is looked at.
 FILE_TICK_S = 1.0
-#: Faults of servers are gathered for so long before they are reported, so many at once, over so many relays at most.
-REPORT_S = 0.1
-MOST_REPORTED, MOST_HOPS = 32, 20
 
 
 class Readiness:
@@ -98,14 +94,13 @@
         self.control = Control(settings.ip, self.members, self.peers.send, self.survey, self.better_reader,
                                self.alone)
         self.founding: Founding | None = None
-        self.verdicts = Verdicts()
-        self.faults: dict[str, None] = {}
-        """Servers that failed here and are to be reported, in the order in which they did."""
+        self.outliers = OutlierReports(self.relay.context, self.relay, self.take_outliers)
         if self.gate is not None and settings.share_faults:
-            self.gate.on_fault = self.note_fault
+            self.gate.on_fault = self.outliers.note_fault
         self.frontends: list[Frontend] = []
         self.tasks: set[asyncio.Task[None]] = set()
-        self.handlers = self.relay.handlers() | self.node_handlers() | self.root_handlers(self.core)
+        self.handlers = (self.relay.handlers() | self.outliers.handlers() | self.node_handlers()
+                         | self.root_handlers(self.core))
 
     def make_gate(self) -> Gate | None:
         return Gate(self.settings) if self.settings.front else None
@@ -267,6 +262,11 @@
         if self.gate is not None:
             self.gate.take_servers(self.relay.listing.servers)
 
+    def take_outliers(self, servers: tuple[str, ...]) -> None:
+        """Servers fail for many nodes of this zone."""
+        if self.gate is not None:
+            self.gate.take_verdict(servers)
+
     def take_place(self) -> None:
         place = self.relay.registration.assignment
         if place is None:
@@ -283,34 +283,6 @@
         elif self.relay.locator.root:
             self.peers.send(self.relay.locator.root, frames.Suspect(name))
 
-    # -- servers that fail ---------------------------------------------------------------------------------
-
-    def note_fault(self, server: str) -> None:
-        if not self.faults:
-            self.loop.call_later(REPORT_S, self.report_faults)
-        self.faults[server] = None
-
-    def report_faults(self) -> None:
-        servers, self.faults = tuple(self.faults)[:MOST_REPORTED], {}
-        self.pass_up(frames.Ailing(0, self.settings.node, self.settings.zone, servers))
-
-    def pass_up(self, frame: frames.Ailing) -> None:
-        """To the root, from parent to parent. A circle of parents ends, and so must what goes round in it."""
-        if self.relay.is_root and self.core is not None:
-            found = self.verdicts.report(frame.name, frame.zone, frame.servers, len(self.relay.listing.servers),
-                                         self.loop.time())
-            if found:
-                log.info("servers that fail for many of %s: %s", frame.zone, " ".join(found))
-                self.relay.children.tell(frames.Verdict(frame.zone, tuple(found), self.relay.epoch))
-        elif self.relay.parent is not None and frame.hops < MOST_HOPS:
-            self.relay.parent.send(replace(frame, hops=frame.hops + 1))
-
-    def on_verdict(self, link: Link, frame: frames.Verdict) -> None:
-        if link is self.relay.parent and not self.relay.fence.rejects(link, frame.epoch):
-            self.relay.children.tell(frame)
-            if self.gate is not None and frame.zone == self.settings.zone:
-                self.gate.take_verdict(frame.servers)
-
     # -- frames --------------------------------------------------------------------------------------------
 
     def on_lost(self, link: Link) -> None:
@@ -321,8 +293,6 @@
         return {
             frames.Join: self.on_join,
             frames.Founded: lambda link, frame: self.on_founded(frame),
-            frames.Ailing: lambda link, frame: self.pass_up(frame),
-            frames.Verdict: self.on_verdict,
             frames.Outcome: lambda link, frame: self.control.on_outcome(frame),
             frames.Reading: lambda link, frame: self.control.on_reading(frame),
             frames.Progress: lambda link, frame: self.control.on_progress(frame),
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -28,7 +28,8 @@
         everywhere = set(edge.handlers)
         groups = (TRANSFER, CORE, CORE_MACHINE, everywhere)
         assert sum(map(len, groups)) == len(frames.FRAMES) and set().union(*groups) == set(frames.FRAMES.values())
-        assert not set(edge.relay.handlers()) & set(edge.node_handlers())
+        tables = (edge.relay.handlers(), edge.outliers.handlers(), edge.node_handlers())
+        assert sum(map(len, tables)) == len(everywhere)
         machine = GatewayNode(parse(BOOT + f"stateDir={tmp_path}", "boot.conf"))
         assert machine.core is not None and set(machine.handlers) == everywhere | CORE_MACHINE
         for node in (edge, machine):
