--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -6,11 +6,12 @@
 import itertools
 import math
 import struct
+from collections import Counter
 from typing import Any
 
 import cbor2
 import pytest
-from hypothesis import given, settings
+from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
 from cypressbeam import configuration, frames, listing
@@ -19,6 +20,7 @@
 from cypressbeam.settings import Envelope, Settings, SettingsError, parse
 from lab.day import DayError, read
 from lab.up import demo_configuration
+from lab.worst import Asked, World, answer, play
 from mallowworks.dialect import GATE
 from mallowworks.http import Limits
 from mallowworks.messages import BadRequest, Message, RequestReader, Store, gather
@@ -189,3 +191,32 @@
     assert split[:len(whole)] == whole[:len(split)] and refused == split_refused
     if not refused:
         assert whole == split
+
+
+@settings(max_examples=300, suppress_health_check=[HealthCheck.too_slow])
+@given(streams(), st.lists(st.integers(0, 400), max_size=8), st.sampled_from(["length", "chunks"]))
+def test_servers_get_requests_as_they_were_read_and_each_answer_goes_to_its_own(stream: bytes, cuts: list[int],
+                                                                              framing: str) -> None:
+    """Through the whole gate: connection, reader, carrier, pool and answers."""
+    stream = stream.replace(b" /a/", b" /book/").replace(b"Host: h\r", b"Host: h.example\r")
+    meant = read_all([stream])[0]
+    places = sorted({0, len(stream), *(cut for cut in cuts if cut < len(stream))})
+
+    async def scenario(world: World) -> None:
+        client = world.client()
+        for one, other in itertools.pairwise(places):
+            client.wire.feed(stream[one:other])
+        for _ in range(6):
+            await world.settle()
+            while world.fresh:
+                sending = world.fresh.pop()
+                sending.wire.feed(answer(sending, framing=framing))
+        got = [sent for wire in world.wires for sent in read_all([bytes(wire.got)])[0]]
+        assert not Counter(got) - Counter(meant)
+        client.wire.got = client.wire.got.replace(b"HTTP/1.1 100 Continue\r\n\r\n", b"")
+        client.asked += [Asked("any", "read")] * (len(meant) + 1)  # one refusal behind them at most
+        given_names = [head[b"attempt-id"].decode() for status, head, _ in client.answers() if status == 200]
+        assert given_names == [sending.ident for sending in world.sendings] and len(given_names) == len(got)
+        rest = iter(meant)
+        assert all(any(name.encode() == message[-1] for message in rest) for name in given_names)  # in order
+    play(scenario)
