--- a/cypressbeam/cli.py
+++ b/cypressbeam/cli.py
@@ -293,14 +293,15 @@
 
     Exit code 3 if something does not hold; with --fault, if nothing is found.
     """
-    from lab import attempts as worst
+    from lab import attempt_faults
+    from lab.attempt_search import search_states, search_with
 
     quiet()
     passed = True
-    for name in list(worst.FAULTS) if fault == "all" else [fault or ""]:
-        with worst.fault(name):
-            state = worst.search_states()
-        found = hunt(worst.search_with, name, range(first, first + seeds), jobs)
+    for name in list(attempt_faults.FAULTS) if fault == "all" else [fault or ""]:
+        with attempt_faults.fault(name):
+            state = search_states()
+        found = hunt(search_with, name, range(first, first + seeds), jobs)
         told = f"state {state[0]}: {state[1]}" if state is not None else "all states as they should be"
         storms = f"storm {found[0]}: {found[1]}" if found is not None else f"{seeds} storms, nothing found"
         click.echo(f"{name or 'the rules as they are'}: {told}; {storms}")
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -11,19 +11,10 @@
 from hypothesis import strategies as st
 
 from cypressbeam.gate import Gate
-from lab.attempts import (
-    CHECKS_LEFT_OUT,
-    FAULTS,
-    STEPS,
-    State,
-    Step,
-    fault,
-    search_states,
-    search_with,
-    states,
-    storm,
-    walk,
-)
+from lab.attempt_faults import CHECKS_LEFT_OUT, FAULTS, fault
+from lab.attempt_search import search_states, search_with
+from lab.attempt_storms import STEPS, Step, storm
+from lab.attempts import State, states, walk
 from mallowworks.attempts import Cause, Outcome, Reply, Sent, may_tell, outcome, repeatable
 from mallowworks.http import Answer
 from pepperrelay.interface import NEVER_RAN, Ending, Group, Repeat, RequestClass
@@ -76,7 +67,7 @@
                                                          *((Repeat.SAFE, group) for group in Group)}
 
 
-# -- states, storms and faults of lab/attempts.py ----------------------------------------------------------------
+# -- states, storms and faults of lab/attempt*.py ----------------------------------------------------------------
 
 @pytest.mark.parametrize("sent", list(Sent))
 @pytest.mark.parametrize("kind", ["read", "book"])
