Reach the parts of the distribution tree and of the histories in the direct rule tests

The tests of single rules were written against relay.py and histories.py before they were split into packages. Only names, imports and the way to a part change: each test keeps its assertions.

--- a/tests/core_parts.py
+++ b/tests/core_parts.py
@@ -8,8 +8,9 @@
 from cypressbeam import frames
 from cypressbeam.agreement import Keeper
 from cypressbeam.chain import Entry, Member, Tell, View
-from lab import histories
-from lab.histories import CLIENT, World
+from lab.histories import invariants
+from lab.histories.network import CLIENT
+from lab.histories.world import World
 
 GROUP = ("a/0", "b/0", "c/0")
 VIEW = View(256, GROUP, GROUP)
@@ -17,7 +18,7 @@
 
 
 def member(ip: str, last: Entry | None = None, committed: int = 0, **changes: Any) -> Member:
-    made = Member(ip, VIEW, histories.revision, histories.digest, last, active=True, committed=committed)
+    made = Member(ip, VIEW, invariants.revision, invariants.digest, last, active=True, committed=committed)
     for name, value in changes.items():
         setattr(made, name, value)
     return made
@@ -35,7 +36,7 @@
     """Three machines at rest: a is the head, c the tail; one version is in force."""
     world = World(1, loss=0.0)
     world.run(1.0)
-    world.call("x", "replace")
+    world.callers.call("x", "replace")
     world.run(3.0)
     assert all(keeper.view == VIEW and keeper.stands() and keeper.newest() for keeper in world.keepers.values())
     for keeper in world.keepers.values():
--- a/tests/parts.py
+++ b/tests/parts.py
@@ -44,7 +44,7 @@
         self.peers = Peers(ME, 1, lambda link, frame: None, lambda link: None, 1000.0)
         self.peers.to = self.wire  # type: ignore[method-assign]
         self.relay = Relay(SETTINGS, self.peers, frames.FRONT)
-        self.relay.loop = cast(Any, SimpleNamespace(time=lambda: self.now_s, call_later=lambda *_: None))
+        self.relay.context.loop = cast(Any, SimpleNamespace(time=lambda: self.now_s, call_later=lambda *_: None))
 
     def wire(self, ip: str, lane: int = SMALL) -> Wire:
         return self.wires.setdefault(ip, Wire(self.peers, ip))
@@ -69,5 +69,5 @@
 
     def child(self, epoch: int, ip: str = "10.0.0.20", revision: int = 0) -> Wire:
         link = self.wire(ip)
-        self.relay.on_attach(link, frames.Attach(ip, revision, 0, 0, epoch))
+        self.relay.feed.on_attach(link, frames.Attach(ip, revision, 0, 0, epoch))
         return link
--- a/tests/test_core_rules.py
+++ b/tests/test_core_rules.py
@@ -10,8 +10,8 @@
 from cypressbeam import agreement, frames
 from cypressbeam.agreement import CONFIRM_S, GATHER_S, PROPOSAL_S, Keeper, SavePromise, SaveView, TryDisk
 from cypressbeam.chain import Entry, View
-from lab import histories
-from lab.histories import CLIENT
+from lab.histories import invariants
+from lab.histories.network import CLIENT
 from tests.core_parts import GROUP, ONE, VIEW, accept, echo, promise, pulse, quiet_world, told
 
 
@@ -29,7 +29,7 @@
 
 
 def test_a_machine_without_a_view_on_its_disk_promises_nothing() -> None:
-    keeper = Keeper("c/7", 2, histories.revision, histories.digest, lambda: 0.5)
+    keeper = Keeper("c/7", 2, invariants.revision, invariants.digest, lambda: 0.5)
     keeper.load(None, 0, None, {}, 0.0)
     keeper.on_view(frames.ViewIs(256, GROUP[:2], (*GROUP[:2], "c/7")), 0.0)  # told, and not on its disk
     assert keeper.on_prepare(frames.Prepare(1024, "a/0"), 0.1) == [] and keeper.promised == 0
@@ -57,7 +57,7 @@
 
 
 def test_only_a_machine_that_has_no_view_takes_up_a_founding_one() -> None:
-    keeper = Keeper("a/0", 2, histories.revision, histories.digest, lambda: 0.5)
+    keeper = Keeper("a/0", 2, invariants.revision, invariants.digest, lambda: 0.5)
     keeper.load(None, 256, None, {}, 0.0)
     assert keeper.found(VIEW, 0.0) == []
     keeper.promised = 0
@@ -165,7 +165,7 @@
 
 def test_a_view_is_mended_by_its_group_with_a_majority_and_once_it_was_wrong_for_a_while() -> None:
     for name, others, mends in (("a/0", ("b/0",), True), ("a/0", (), False), ("x/0", ("b/0", "a/0"), False)):
-        keeper = Keeper(name, 2, histories.revision, histories.digest, lambda: 0.5)
+        keeper = Keeper(name, 2, invariants.revision, invariants.digest, lambda: 0.5)
         keeper.load(VIEW, 256, None, {}, 0.0)
         proposed: list[float] = []
         for tick in range(1, 12):
--- a/tests/test_disk_rules.py
+++ b/tests/test_disk_rules.py
@@ -16,8 +16,8 @@
 from cypressbeam.chain import Entry, View
 from cypressbeam.marks import Marks
 from cypressbeam.store import FILE, Store, StoreError
-from lab import histories
-from lab.histories import CLIENT
+from lab.histories import invariants
+from lab.histories.network import CLIENT
 from tests.core_parts import GROUP, VIEW, accept, echo, promise, pulse, quiet_world, told
 
 #: What b has told; each of the others lacks something of that.
@@ -110,7 +110,7 @@
 
 
 def test_only_what_is_on_disk_is_told() -> None:
-    keeper = Keeper("a/0", 2, histories.revision, histories.digest, lambda: 0.5)
+    keeper = Keeper("a/0", 2, invariants.revision, invariants.digest, lambda: 0.5)
     keeper.remember(Marks(1, 5), Marks(2, 6), {})
     keeper.load(VIEW, 256, None, {}, 0.0)
     assert keeper.on_prepare(frames.Prepare(1024, "b/0"), 0.0)
--- a/tests/test_fencing_rules.py
+++ b/tests/test_fencing_rules.py
@@ -11,9 +11,11 @@
 
 from cypressbeam import frames
 from cypressbeam.configuration import digest
+from cypressbeam.distribution.heartbeats import FRESH_S
+from cypressbeam.distribution.registration import JOIN_S
+from cypressbeam.distribution.subscription import HOLD_S, SEEK_S
 from cypressbeam.listing import Listing
 from cypressbeam.node import GatewayNode
-from cypressbeam.relay import FRESH_S, HOLD_S, JOIN_S, SEEK_S
 from cypressbeam.roster import DEAF_S, Roster
 from tests.loopback import run
 from tests.parts import FIRST, FOURTH, ME, OTHER, ROOT, SECOND, THIRD, Part, Wire
@@ -28,18 +30,19 @@
 
 
 def verdict(part: Part, link: Wire, epoch: int) -> None:
-    node = SimpleNamespace(relay=part.relay, settings=part.relay.settings, gate=Mock())
+    node = SimpleNamespace(relay=part.relay, settings=part.relay.context.settings, gate=Mock())
     GatewayNode.on_verdict(cast(Any, node), link, frames.Verdict("a", ("s",), epoch))
     if node.gate.take_verdict.called:
-        part.relay.beats[99] = 1  # a change that `state` shows
+        part.relay.heartbeats.numbers[99] = 1  # a change that `state` shows
 
 
 #: Each word that a parent, or the root, says, under an epoch.
 WORDS: dict[str, Callable[[Part, Wire, int], None]] = {
-    "News": lambda part, link, epoch: part.relay.on_news(link, frames.News(3, digest(BODY), epoch)),
-    "Update": lambda part, link, epoch: part.relay.on_update(
+    "News": lambda part, link, epoch: part.relay.configuration.on_news(link, frames.News(3, digest(BODY), epoch)),
+    "Update": lambda part, link, epoch: part.relay.configuration.on_update(
         link, frames.Update(3, digest(BODY), bytes(32), b"", epoch)),
-    "Servers": lambda part, link, epoch: part.relay.on_listed(link, frames.Servers(7, 0, 1, 1, rows(), epoch)),
+    "Servers": lambda part, link, epoch: part.relay.on_servers_message(
+        link, frames.Servers(7, 0, 1, 1, rows(), epoch)),
     "Beat": lambda part, link, epoch: part.relay.on_beat(link, frames.Beat(7, 0, 0, 3, 9, epoch)),
     "Place": lambda part, link, epoch: part.place(epoch, OTHER),
     "Refer": lambda part, link, epoch: part.relay.on_refer(link, frames.Refer(OTHER, epoch)),
@@ -49,8 +52,9 @@
 
 def state(part: Part) -> Any:
     relay = part.relay
-    return (relay.newest, relay.listing.seq, dict(relay.beats), relay.place, relay.root, relay.root_asked_s,
-            relay.fed, relay.heard_s)
+    locator, subscription = relay.locator, relay.subscription
+    return (relay.configuration.newest, relay.listing.seq, dict(relay.heartbeats.numbers),
+            relay.registration.assignment, locator.root, locator.asked_s, subscription.epoch, subscription.heard_s)
 
 
 @pytest.mark.parametrize("word", WORDS)
@@ -123,7 +127,7 @@
     async def scenario() -> None:
         part = Part().under(SECOND)
         link = part.child(SECOND)
-        part.relay.on_news(part.wire(ROOT), frames.News(3, digest(BODY), SECOND))
+        part.relay.configuration.on_news(part.wire(ROOT), frames.News(3, digest(BODY), SECOND))
         (news,) = [frame for frame in link.sent if isinstance(frame, frames.News)]
         assert news.epoch == SECOND
     run(scenario())
@@ -136,7 +140,7 @@
         part.relay.see(THIRD)
         part.relay.on_placed(part.wire(ROOT), frames.Place(THIRD, (ROOT,), (ROOT,), (), (), 3, 3, 0))
         link = part.child(THIRD)
-        assert link in part.relay.children and not link.sent
+        assert link in part.relay.children.links and not link.sent
         part.beat(THIRD, 2)
         assert link.kinds() == ["Beat", "News", "Beat"] and all(cast(Any, one).epoch == THIRD for one in link.sent)
     run(scenario())
@@ -161,8 +165,8 @@
     async def scenario() -> None:
         part = Part().under(SECOND)
         part.relay.see(THIRD)
-        part.relay.ask(OTHER)
-        part.relay.attach(OTHER)
+        part.relay.register(OTHER)
+        part.relay.subscription.begin(OTHER)
         join, attach = part.wire(OTHER).sent
         assert isinstance(join, frames.Join) and (join.epoch, join.fed) == (THIRD, SECOND)
         assert isinstance(attach, frames.Attach) and attach.epoch == THIRD
@@ -177,7 +181,7 @@
     async def scenario() -> None:
         part = Part().under(SECOND)
         if loses == "its parent":
-            part.relay.parent = None
+            part.relay.subscription.parent = None
         elif loses == "the root's word":
             part.now_s += FRESH_S + 0.01
         elif loses == "the epoch":
@@ -193,14 +197,14 @@
     async def scenario() -> None:
         part = Part().under(SECOND)
         if why == "no parent":
-            part.relay.parent = None
+            part.relay.subscription.parent = None
         elif why == "no beat":
             part.now_s += SEEK_S + 0.01
         elif why == "an epoch that is over":
             part.relay.see(THIRD)
-        assert part.relay.seeks(part.now_s) is not taken
+        assert part.relay.position.seeks(part.now_s) is not taken
         link = part.child(part.relay.epoch)
-        assert (link in part.relay.children) is taken and ("Released" in link.kinds()) is not taken
+        assert (link in part.relay.children.links) is taken and ("Released" in link.kinds()) is not taken
     run(scenario())
 
 
@@ -209,7 +213,7 @@
         part = Part().lead(SECOND)
         link = part.child(SECOND)
         link.sent.clear()
-        part.relay.vouched = lambda: ""
+        part.relay.fence.vouched = lambda: ""
         part.relay.tell_beat()
         assert link.kinds() == ["Alive"]
         assert part.child(SECOND, "10.0.0.21").kinds() == ["Released"]
@@ -221,7 +225,7 @@
         part = Part().lead(SECOND)
         link = part.child(SECOND)
         part.relay.resign()
-        assert not part.relay.is_root and not part.relay.children and link.kinds()[-1] == "Released"
+        assert not part.relay.is_root and not part.relay.children.links and link.kinds()[-1] == "Released"
     run(scenario())
 
 
@@ -244,11 +248,11 @@
     async def scenario() -> None:
         part = Part().under(SECOND)
         part.now_s += HOLD_S - 0.1
-        part.relay.on_alive(part.wire(ROOT))
+        part.relay.on_alive(part.wire(ROOT), frames.Alive())
         part.relay.tick()
         assert part.relay.parent is not None
         part.now_s += 0.2
-        part.relay.on_alive(part.wire(ROOT))
+        part.relay.on_alive(part.wire(ROOT), frames.Alive())
         part.relay.tick()
         assert part.relay.parent is None
     run(scenario())
@@ -259,14 +263,14 @@
         part = Part()
         for _ in range(3):
             part.relay.on_refer(part.wire(OTHER), frames.Refer(ROOT, SECOND))
-        assert part.wire(ROOT).kinds() == ["Join"] and part.relay.root == ROOT
+        assert part.wire(ROOT).kinds() == ["Join"] and part.relay.locator.root == ROOT
         part.now_s += JOIN_S + 0.01
-        part.relay.forget_silent_root(part.now_s)
-        assert part.relay.root == ""
+        part.relay.locator.forget_silent(part.now_s)
+        assert part.relay.locator.root == ""
         part.relay.on_refer(part.wire(OTHER), frames.Refer(ROOT, SECOND))
         assert part.wire(ROOT).kinds() == ["Join", "Join"]
         part.relay.on_refer(part.wire(ROOT), frames.Refer("", SECOND))  # it is the root no more, or not yet
-        assert part.relay.root == ""
+        assert part.relay.locator.root == ""
     run(scenario())
 
 
@@ -312,5 +316,5 @@
 def test_the_root_itself_is_named_by_its_own_address() -> None:
     async def scenario() -> None:
         part = Part().lead(SECOND)
-        assert part.relay.named() == ME and part.relay.standing() == SECOND
+        assert part.relay.named() == ME and part.relay.position.standing() == SECOND
     run(scenario())
--- a/tests/test_member_rules.py
+++ b/tests/test_member_rules.py
@@ -10,7 +10,7 @@
 from cypressbeam.agreement import LEVEL, Keeper
 from cypressbeam.chain import Entry
 from cypressbeam.members import Members
-from lab import histories
+from lab.histories import invariants
 from tests.core_parts import GROUP, ONE, VIEW, echo, pulse, quiet_world, told
 
 NEW = "d/7"
@@ -22,7 +22,7 @@
 
 def standing_by() -> Keeper:
     """A machine that stands by, with a view on its disk that does not count it."""
-    keeper = Keeper(NEW, 2, histories.revision, histories.digest, lambda: 0.5)
+    keeper = Keeper(NEW, 2, invariants.revision, invariants.digest, lambda: 0.5)
     keeper.load(VIEW, 256, ONE, {}, 0.0)
     assert keeper.standing == LEVEL
     return keeper
@@ -30,8 +30,8 @@
 
 def test_only_the_head_of_an_active_view_that_leads_steps() -> None:
     world = quiet_world()
-    assert [Members(world.keepers[ip], 1, 0.0).heads(world.now_s) for ip in "abc"] == [True, False, False]
-    assert not Members(world.keepers["a"], 1, 0.0).heads(world.now_s + 5.0)
+    assert [Members(world.keepers[ip], 1).heads(world.now_s) for ip in "abc"] == [True, False, False]
+    assert not Members(world.keepers["a"], 1).heads(world.now_s + 5.0)
 
 
 def test_the_chain_of_a_view_that_adds_a_machine_holds_that_machine() -> None:
@@ -43,20 +43,20 @@
 
 @pytest.mark.parametrize("wrong", [{"name": "d/8"}, {"group": (*GROUP, NEW)}, {"epoch": 255}])
 def test_a_stand_by_answers_what_is_for_it_of_a_view_that_does_not_count_it_yet(wrong: dict[str, object]) -> None:
-    members = Members(standing_by(), 1, 0.0)
+    members = Members(standing_by(), 1)
     (answer,) = told(members.on_level(level(), 0.0))
-    assert answer == frames.Levelled(NEW, 256, 1, histories.digest(ONE.body))
+    assert answer == frames.Levelled(NEW, 256, 1, invariants.digest(ONE.body))
     assert members.on_level(level(**wrong), 0.0) == []
 
 
 def test_one_is_level_by_the_body_s_digest_and_at_most_one_entry_behind() -> None:
     world = quiet_world()
     keeper = world.keepers["a"]
-    members = Members(keeper, 1, 0.0)
+    members = Members(keeper, 1)
     echo(keeper, world.now_s, pulse(NEW, epoch=0, held=0, entry=0, standing=0))
     assert members.standing_by(world.now_s) == {"d": NEW} and keeper.member is not None
     keeper.member.last = Entry(3, 256, 30, 20, b"30:x")
-    mark = histories.digest(b"30:x")
+    mark = invariants.digest(b"30:x")
     for number, told_mark, holds in ((3, b"another", False), (1, b"", False), (2, b"", True), (3, mark, True)):
         members.levelled.clear()
         members.on_levelled(frames.Levelled(NEW, 256, number, told_mark))
@@ -67,7 +67,7 @@
     for wait in ("proposal", "lost disk", ""):
         world = quiet_world()
         keeper = world.keepers["a"]
-        members = Members(keeper, 1, 0.0)
+        members = Members(keeper, 1)
         if wait == "proposal":
             keeper.propose(world.now_s)
         elif wait == "lost disk":
--- a/tests/test_order_rules.py
+++ b/tests/test_order_rules.py
@@ -13,7 +13,8 @@
 from cypressbeam.chain import MOST_WAITING, Entry, Member, Tell, View
 from cypressbeam.configuration import MOST_REVISION, digest
 from cypressbeam.control import AGAIN_S, PATIENCE_S, Control
-from lab.histories import World, revision
+from lab.histories.invariants import revision
+from lab.histories.world import World
 from tests.loopback import run
 
 ALONE = View(256, ("a/1",), ("a/1",))
--- a/tests/test_word_rules.py
+++ b/tests/test_word_rules.py
@@ -31,7 +31,7 @@
         self.contact_s, self.leads, self.proposed = self.now_s, True, 0
         self.told: list[tuple[str, frames.Frame]] = []
         self.core = Core(SETTINGS, self.relay, lambda ip, frame: self.told.append((ip, frame)), Mock())
-        self.core.loop = self.relay.loop
+        self.core.loop = self.relay.context.loop
         self.heard = {OTHER: SimpleNamespace(epoch=SECOND), ROOT: SimpleNamespace(epoch=SECOND)}
         self.keeper = SimpleNamespace(
             view=VIEW, name=f"{ME}/a", promised=SECOND, root=True, heard=self.heard, proposal=None, seen_epoch=SECOND,
@@ -106,7 +106,7 @@
         link = machine.child(SECOND)
         machine.keeper.view = replace(VIEW, epoch=THIRD)
         machine.relay.see(THIRD)
-        assert machine.relay.is_root and link in machine.relay.children
+        assert machine.relay.is_root and link in machine.relay.children.links
         assert isinstance(link.sent[-1], frames.Beat) and link.sent[-1].epoch == THIRD
     run(scenario())
 
@@ -159,7 +159,7 @@
         machine = Machine().as_root()
         link = machine.child(SECOND)
         found = SimpleNamespace(report=lambda *_: ["s"])
-        node = SimpleNamespace(relay=machine.relay, core=machine.core, verdicts=found, loop=machine.relay.loop)
+        node = SimpleNamespace(relay=machine.relay, core=machine.core, verdicts=found, loop=machine.relay.context.loop)
         GatewayNode.pass_up(cast(Any, node), frames.Ailing(0, "x", "a", ("s",)))
         assert link.sent[-1] == frames.Verdict("a", ("s",), SECOND)
     run(scenario())
@@ -182,11 +182,11 @@
     async def scenario() -> None:
         part = Part().under(SECOND)
         if why != "a parent":
-            part.relay.parent = None
+            part.relay.subscription.parent = None
         part.now_s += ALONE_S + (-0.1 if why == "a moment only" else 0.1)
         part.peers.heard = {OTHER: part.now_s - 1.0} if why == "heard lately" else {}
         node = SimpleNamespace(relay=part.relay, core=Mock() if why == "of the core" else None, peers=part.peers,
-                               loop=part.relay.loop)
+                               loop=part.relay.context.loop)
         assert GatewayNode.alone(cast(Any, node)) is alone
         control = Control(ME, lambda: (ROOT,), lambda ip, frame: None, Mock(), alone=lambda: alone)
         answer = control.pass_on(frames.Read(1, ME), Mock())
