--- a/lab/rules_orders.py
+++ b/lab/rules_orders.py
@@ -10,7 +10,7 @@
 CONFIGURATION = "cypressbeam/configuration.py"
 CONTROL = "cypressbeam/control.py"
 GATE = "cypressbeam/gate.py"
-RELAY = "cypressbeam/relay.py"
+REPLICA = "cypressbeam/distribution/configuration_replica.py"
 ROUTING = "cypressbeam/routing.py"
 STORE = "cypressbeam/store.py"
 TAKEN = "cypressbeam/taken.py"
@@ -182,10 +182,12 @@
             "        for service in touched:\n            self.tell_servers(service)\n", "", ROUTES),
     orders("a balancer learns of new kinds of requests", GATE,
             "                desk.feed(it.SettingsChanged(settings))\n", "                pass\n", ROUTES),
-    orders("an older version is not taken", RELAY,
-            "        if revision <= self.revision:\n            return\n        self.before",
-            "        self.before", ROUTES),
-    orders("nor asked for", RELAY, "if revision <= self.revision or revision < self.newest[0]:", "if False:", ROUTES),
+    orders("an older version is not taken", REPLICA,
+            "        if revision <= self.revision:\n"
+            "            return\n"
+            "        before",
+            "        before", ROUTES),
+    orders("nor asked for", REPLICA, "if revision <= self.revision or revision < self.newest[0]:", "if False:", ROUTES),
     orders("while members judge by two versions of the check nothing is said to be invalid", AGREEMENT,
             "action.frame.status == INVALID and not self.judge_alike()):", "False):"),
     orders("all members count for that", AGREEMENT,
@@ -197,7 +199,7 @@
             "                                        for name in [*self.view.group, *self.checks_of])\n\n"
             "    def confirm"),
     orders("a pulse tells the version of the check", AGREEMENT,
-            "disk = 1 + 2 * self.checks if self.disk_works(now_s) else 0", "disk = int(self.disk_works(now_s))"),
+            "disk = 1 + 2 * self.checks if self.offers_disk(now_s) else 0", "disk = int(self.offers_disk(now_s))"),
     orders("which stays known of a disk in trouble", AGREEMENT,
             "        if frame.disk:\n            self.checks_of[ip]",
             "        if True:\n            self.checks_of[ip]"),
