--- a/lab/mutation.py
+++ b/lab/mutation.py
@@ -25,8 +25,9 @@
 from lab.rules_core import CORE_RULES, DISK_RULES
 from lab.rules_fencing import FENCING_RULES, MEMBERS_RULES
 from lab.rules_orders import ORDERS_RULES
+from lab.rules_replacement import REPLACEMENT_RULES
 
-RULES = (*FENCING_RULES, *MEMBERS_RULES, *ORDERS_RULES, *CORE_RULES, *DISK_RULES)
+RULES = (*FENCING_RULES, *MEMBERS_RULES, *REPLACEMENT_RULES, *ORDERS_RULES, *CORE_RULES, *DISK_RULES)
 ROOT = Path(__file__).resolve().parent.parent
 #: What the tests need of a checkout.
 COPIED = ("cypressbeam", "mallowworks", "pepperrelay", "lab", "tests", "docs", "deploy", "pyproject.toml", "README.md")
--- a/lab/rules.py
+++ b/lab/rules.py
@@ -1,5 +1,5 @@
 """A rule of the design pages, the text that holds it, and how to leave it out. The lists are in the modules beside it:
-rules_fencing.py, rules_orders.py and rules_core.py; lab/mutation.py takes them out one by one.
+rules_fencing.py, rules_replacement.py, rules_orders.py and rules_core.py; lab/mutation.py takes them out one by one.
 
 A new rule of those pages gets an entry there, and a test of a few lines that fails without it.
 """
--- /dev/null
+++ b/tests/test_replacement_rules.py
@@ -0,0 +1,69 @@
+"""Each rule of members that are replaced by themselves, that no test of test_replacement.py holds by itself."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from cypressbeam.chain import ip_of
+from cypressbeam.members import REPLACE, Change
+from lab.turnover import Turnover
+from tests.test_members import newest, world_at_rest
+
+
+def silent_for_long(world: Turnover, at: str, *silent: str) -> None:
+    """As that machine sees it."""
+    world.replacements[at].silence.since_s = dict.fromkeys(silent, world.now_s - 100.0)
+
+
+def test_only_the_head_replaces_a_silent_member_and_only_after_a_time_above_0() -> None:
+    for seconds, replaces in ((60.0, True), (0.0, False)):
+        world = world_at_rest(replace_after_s=seconds)
+        head = newest(world).head
+        victim = next(ip for ip in "abc" if ip != head)
+        world.stop(victim)
+        world.run(world.now_s + 3.0)
+        for ip in sorted(set("abc") - {victim}):
+            silent_for_long(world, ip, victim)
+            here = world.replacements[ip]
+            assert (here.next_change(world.now_s) is not None) is replaces
+            assert bool(here.tick(world.now_s)) is (replaces and ip == head) and bool(here.status) is (
+                replaces and ip == head)
+
+
+def test_one_without_a_majority_in_reach_counts_no_silence() -> None:
+    world = world_at_rest()
+    for ip in "bc":
+        world.stop(ip)
+    world.run(world.now_s + 3.0)
+    assert world.replacements["a"].silence.since_s == {}
+
+
+def test_a_replacement_that_was_begun_goes_on_though_the_member_is_back() -> None:
+    world = world_at_rest()
+    here = world.replacements[newest(world).head]
+    begun = here.begun = Change(REPLACE, "b", "c", frozenset("ab"))
+    assert here.silence.since_s == {} and here.next_change(world.now_s) == begun
+    here.begun = Change(REPLACE, "b", "d", frozenset("abc"))  # its spare is not added yet
+    assert here.next_change(world.now_s) is None
+
+
+def test_one_too_many_is_an_even_number_above_the_least() -> None:
+    here = world_at_rest().replacements["a"]
+    assert [count for count in range(1, 8) if here.has_one_too_many(frozenset("abcdefg"[:count]))] == [4, 6]
+
+
+def test_who_has_left_waits_for_the_view_on_the_disks_of_those_that_are_heard() -> None:
+    world = world_at_rest()
+    here, keeper = world.replacements["a"], world.keepers["a"]
+    view = keeper.view
+    assert view is not None and not here.successors_lack_view(world.now_s)
+    keeper.view = replace(view, epoch=view.epoch + 256)
+    assert not here.successors_lack_view(world.now_s)  # it is a member yet
+    others = tuple(name for name in view.chain if ip_of(name) != "a")
+    keeper.view = replace(view, epoch=view.epoch + 256, chain=others, group=others)
+    assert here.successors_lack_view(world.now_s)
+    first, second = (keeper.heard[ip_of(name)] for name in others)
+    first.epoch = keeper.view.epoch
+    assert here.successors_lack_view(world.now_s)
+    second.at_s -= 10.0  # it is silent
+    assert not here.successors_lack_view(world.now_s)
