--- a/lab/commands/histories.py
+++ b/lab/commands/histories.py
@@ -115,14 +115,16 @@
 
     Exit code 3 if something does not hold; with --fault, if nothing is found.
     """
-    from lab import attempts as worst
+    from lab.attempt_faults import FAULTS
+    from lab.attempt_faults import fault as left_out
+    from lab.attempt_search import search_states, search_with
 
     silence_simulated_nodes()
     passed = True
-    for name in list(worst.FAULTS) if fault == "all" else [fault or ""]:
-        with worst.fault(name):
-            state = worst.search_states()
-        found = first_failure(worst.search_with, name, range(first, first + seeds), jobs)
+    for name in list(FAULTS) if fault == "all" else [fault or ""]:
+        with left_out(name):
+            state = search_states()
+        found = first_failure(search_with, name, range(first, first + seeds), jobs)
         told = f"state {state[0]}: {state[1]}" if state is not None else "all states as they should be"
         storms = f"storm {found[0]}: {found[1]}" if found is not None else f"{seeds} storms, nothing found"
         click.echo(f"{name or 'the rules as they are'}: {told}; {storms}")
--- a/lab/rules_fencing.py
+++ b/lab/rules_fencing.py
@@ -13,6 +13,7 @@
 MACHINE = "cypressbeam/core.py"
 MEMBERS = "cypressbeam/members.py"
 NODE = "cypressbeam/node.py"
+OUTLIERS = "cypressbeam/distribution/outlier_reports.py"
 POSITION = "cypressbeam/distribution/position.py"
 REGISTRATION = "cypressbeam/distribution/registration.py"
 RELAY = "cypressbeam/relay.py"
@@ -82,7 +83,7 @@
             "if frame.root and self.fence.rejects(link, frame.epoch):", "if False:"),
     fencing("who names nobody is not answered", RELAY,
             "if frame.root and self.fence.rejects(link, frame.epoch):", "if self.fence.rejects(link, frame.epoch):"),
-    fencing("a verdict is fenced", NODE,
+    fencing("a verdict is fenced", OUTLIERS,
             "if link is self.relay.parent and not self.relay.fence.rejects(link, frame.epoch):",
             "if link is self.relay.parent:"),
     fencing("an epoch that is told with a reference is seen", RELAY,
@@ -157,7 +158,7 @@
             "self.roster.place(frame.name, self.relay.epoch,", "self.roster.place(frame.name, 0,"),
     fencing("changes of the list carry the root's epoch", MACHINE,
             "replace(changes, epoch=self.relay.epoch)", "changes"),
-    fencing("a verdict carries the root's epoch", NODE, "tuple(found), self.relay.epoch))", "tuple(found)))"),
+    fencing("a verdict carries the root's epoch", OUTLIERS, "tuple(found), self.relay.epoch))", "tuple(found)))"),
     fencing("an epoch counts as seen only once somebody leads in it", MACHINE,
             "if keeper.leads(self.loop.time()):\n                self.relay.see",
             "if True:\n                self.relay.see"),
--- a/tests/test_added_routes.py
+++ b/tests/test_added_routes.py
@@ -118,11 +118,11 @@
         relay.see(512)
         relay.publish(5, new)
         relay.publish(4, old)
-        relay.configuration.bodies.put(old)
+        relay.configuration.store.put(old)
         relay.configuration.on_news(link, frames.News(4, digest(old), 512))
         relay.configuration.on_news(link, frames.News(5, digest(old), 512))  # another one under the same number
         assert relay.configuration.newest == (5, digest(new)) and not relay.configuration.transfer.mark
-        data = relay.configuration.bodies.brief(digest(old), digest(new))
+        data = relay.configuration.store.brief(digest(old), digest(new))
         assert data
         relay.configuration.on_update(link, frames.Update(4, digest(old), digest(new), data, 768))
         assert taken == [5] and (relay.revision, relay.configuration.body) == (5, new)
@@ -138,7 +138,7 @@
         relay.configuration.on_news(link, frames.News(4, digest(bodies[0]), 512))
         assert relay.configuration.transfer.mark == digest(bodies[0]) and not taken
         relay.publish(6, bodies[2])
-        relay.configuration.bodies.arrived(digest(bodies[0]), bodies[0])
+        relay.configuration.fetcher.arrived(digest(bodies[0]), bodies[0])
         relay.configuration.take(5, bodies[1], link.ip)
         assert taken == [6] and relay.configuration.body == bodies[2]
     run(scenario())
--- a/tests/test_fencing_rules.py
+++ b/tests/test_fencing_rules.py
@@ -5,13 +5,13 @@
 from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any, cast
-from unittest.mock import Mock
 
 import pytest
 
 from cypressbeam import frames
 from cypressbeam.configuration import digest
 from cypressbeam.distribution.heartbeats import FRESH_S
+from cypressbeam.distribution.outlier_reports import OutlierReports
 from cypressbeam.distribution.registration import JOIN_S
 from cypressbeam.distribution.subscription import HOLD_S, SEEK_S
 from cypressbeam.listing import Listing
@@ -30,9 +30,9 @@
 
 
 def verdict(part: Part, link: Wire, epoch: int) -> None:
-    node = SimpleNamespace(relay=part.relay, settings=part.relay.context.settings, gate=Mock())
-    GatewayNode.on_verdict(cast(Any, node), link, frames.Verdict("a", ("s",), epoch))
-    if node.gate.take_verdict.called:
+    taken: list[tuple[str, ...]] = []
+    OutlierReports(part.relay.context, part.relay, taken.append).on_verdict(link, frames.Verdict("a", ("s",), epoch))
+    if taken:
         part.relay.heartbeats.numbers[99] = 1  # a change that `state` shows
 
 
--- a/tests/test_word_rules.py
+++ b/tests/test_word_rules.py
@@ -14,6 +14,7 @@
 from cypressbeam.chain import View
 from cypressbeam.control import Control
 from cypressbeam.core import ABOVE_S, INTRODUCE_S, Core
+from cypressbeam.distribution.outlier_reports import OutlierReports
 from cypressbeam.node import ALONE_S, GatewayNode
 from cypressbeam.peers import Link
 from cypressbeam.store import Loaded
@@ -158,9 +159,9 @@
     async def scenario() -> None:
         machine = Machine().as_root()
         link = machine.child(SECOND)
-        found = SimpleNamespace(report=lambda *_: ["s"])
-        node = SimpleNamespace(relay=machine.relay, core=machine.core, verdicts=found, loop=machine.relay.context.loop)
-        GatewayNode.pass_up(cast(Any, node), frames.Ailing(0, "x", "a", ("s",)))
+        reports = OutlierReports(machine.relay.context, machine.relay, lambda servers: None)
+        reports.verdicts = cast(Any, SimpleNamespace(report=lambda *_: ["s"]))
+        reports.pass_up(frames.Ailing(0, "x", "a", ("s",)))
         assert link.sent[-1] == frames.Verdict("a", ("s",), SECOND)
     run(scenario())
 
