--- a/cypressbeam/core.py
+++ b/cypressbeam/core.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import replace
 from typing import Any
-from urllib.parse import quote
 
 from cypressbeam import configuration, frames
 from cypressbeam.agreement import (
@@ -24,7 +23,9 @@
     TryDisk,
 )
 from cypressbeam.chain import Publish, Sync, Tell, View, ip_of
-from cypressbeam.listing import Server, read_page
+from cypressbeam.dispatch import dispatch
+from cypressbeam.list_poller import Poller
+from cypressbeam.listing import Server
 from cypressbeam.members import Change, Members
 from cypressbeam.peers import Link
 from cypressbeam.quorum_loss import QuorumWatch
@@ -33,26 +34,16 @@
 from cypressbeam.roster import RENEW_S, Roster
 from cypressbeam.settings import Settings
 from cypressbeam.store import FormatError, Loaded, Storage, StoreError, TornError
-from mallowworks.discovery import Address, ListConnection
 
 log = logging.getLogger(__name__)
 
 TICK_S = 0.1
-#: The epoch of the founding view: below all that are proposed later.
-FOUNDING_EPOCH = 1 << 8
 #: A root that is new knows only those that have joined since; it tells no number of them before.
 COUNTING_S = 5.0
 #: The root tells seeds that have not joined of itself this often.
 INTRODUCE_S = 0.5
 #: A node that is late with its join by so much, and is not heard by its watchers, is gone.
 SUSPECT_S = 1.0
-#: The founder waits so long for one more machine with a disk, and asks a member again that has not agreed yet.
-FOUNDING_QUIET_S = 0.3
-FOUNDING_AGAIN_S = 0.4
-#: The list is asked for this often; on trouble sooner or later, with full jitter.
-POLL_S = 0.9
-POLL_TIMEOUT_S = 1.0
-POLL_AGAIN_S = (0.1, 0.3)
 #: A tail that leads while nodes have seen a higher epoch than its view's (a restored system's) makes a view above it.
 ABOVE_S = 1.0
 #: Joins that came so long before this machine leads are answered then; whoever sent an older one has asked again.
@@ -76,76 +67,6 @@
         raise ValueError(str(err)) from None
 
 
-class Founding:
-    """At the first seed, at the very first start: gathers the machines with a disk and proposes the first view."""
-
-    def __init__(self, wanted: int) -> None:
-        self.wanted = wanted
-        self.candidates: set[str] = set()
-        self.changed_s = 0.0
-        self.view: View | None = None
-        self.agreed: set[str] = set()
-        self.asked_s = 0.0
-
-    def candidate(self, name: str, now_s: float) -> None:
-        if self.view is None and name not in self.candidates:
-            self.candidates.add(name)
-            self.changed_s = now_s
-
-    def tick(self, now_s: float) -> list[Tell]:
-        quiet = now_s - self.changed_s >= FOUNDING_QUIET_S
-        if self.view is None and len(self.candidates) >= self.wanted and quiet:
-            members = tuple(sorted(self.candidates))
-            self.view = View(FOUNDING_EPOCH, members, members)
-        if self.view is None or now_s - self.asked_s < FOUNDING_AGAIN_S:
-            return []
-        self.asked_s = now_s
-        frame = frames.Found(self.view.epoch, self.view.chain)
-        return [Tell(ip_of(name), frame) for name in self.view.chain if name not in self.agreed]
-
-    def done(self) -> bool:
-        return self.view is not None and self.agreed == set(self.view.chain)
-
-
-class Poller:
-    """Asks the platform for the whole list, page by page, over one kept connection."""
-
-    def __init__(self, address: Address, on_list: Callable[[list[Server]], None], chance: random.Random) -> None:
-        self.address = address
-        self.on_list = on_list
-        self.chance = chance
-
-    async def run(self) -> None:
-        while True:
-            connection = ListConnection(self.address)
-            try:
-                await connection.open()
-                while True:
-                    await self.poll(connection)
-                    await asyncio.sleep(POLL_S)
-            except Exception as err:  # whatever comes, the list stays as it was and is asked for again
-                log.warning("list of servers: %s: %s", type(err).__name__, err)
-            finally:
-                connection.close()
-            await asyncio.sleep(self.chance.uniform(*POLL_AGAIN_S))
-
-    async def poll(self, connection: ListConnection) -> None:
-        """One whole list. A page that is refused over the rate is asked for again, later."""
-        servers: list[Server] = []
-        token: str | None = ""
-        while token is not None:
-            answer = await connection.get("/servers" + (f"?pageToken={quote(token)}" if token else ""),
-                                          POLL_TIMEOUT_S)
-            if answer.status == 429:
-                await asyncio.sleep(self.chance.uniform(*POLL_AGAIN_S))
-                continue
-            if answer.status != 200:
-                raise ValueError(f"status {answer.status}")
-            page, token = read_page(answer.body)
-            servers += page
-        self.on_list(servers)
-
-
 class Core:
     """A machine with a disk: its part in the core on real sockets and a real disk."""
 
@@ -504,42 +425,17 @@
         keeper, members, now_s = self.keeper, self.members, self.loop.time()
         if keeper is None or members is None or self.replacement is None:
             return  # the disk is not read yet
-        done: Sequence[Action] = ()
-        if isinstance(frame, frames.Pulse):
-            done = keeper.on_pulse(frame, now_s)
-        elif isinstance(frame, frames.Order):
-            done = keeper.order(frame, now_s)
-        elif isinstance(frame, frames.Forward):
-            done = keeper.forward(frame, now_s)
-        elif isinstance(frame, frames.Committed):
-            done = keeper.committed(frame, now_s)
-        elif isinstance(frame, frames.Read):
-            done = keeper.read(frame, now_s)
-        elif isinstance(frame, frames.Confirm):
-            done = keeper.on_confirm(frame)
-        elif isinstance(frame, frames.Confirmed):
-            done = keeper.on_confirmed(frame, now_s)
-        elif isinstance(frame, frames.ViewIs):
-            done = keeper.on_view(frame, now_s)
-        elif isinstance(frame, frames.Prepare):
-            done = keeper.on_prepare(frame, now_s)
-        elif isinstance(frame, frames.Promise):
-            done = keeper.on_promise(frame, now_s)
-        elif isinstance(frame, frames.Accept):
-            done = keeper.on_accept(frame, now_s)
-        elif isinstance(frame, frames.StaleDisk):
-            done = keeper.on_stale(frame, now_s)
-        elif isinstance(frame, frames.Ask):
-            standing = self.replacement.describe(frame.ident, now_s)
-            done = [Tell(frame.origin, replace(standing, silent=self.quorum.silences() or standing.silent)),
-                    Tell(frame.origin, keeper.state(frame.ident, now_s))]
-        elif isinstance(frame, frames.Change):
-            done = self.replacement.order(frame, now_s)
-        elif isinstance(frame, frames.Level):
-            done = members.on_level(frame, now_s)
-        elif isinstance(frame, frames.Levelled):
-            done = members.on_levelled(frame)
-        self.carry_out(done)
+        if isinstance(frame, frames.Ask):
+            self.carry_out(self.describe(frame, keeper, self.replacement, now_s))
+        else:
+            self.carry_out(dispatch(frame, keeper, members, self.replacement, now_s))
+
+    def describe(self, frame: frames.Ask, keeper: Keeper, replacement: Replacement, now_s: float) -> list[Action]:
+        """What this machine holds and whom it hears, for an operator."""
+        spares = replacement.describe(frame.ident, now_s)
+        silent = self.quorum.silences() or spares.silent
+        return [Tell(frame.origin, replace(spares, silent=silent)),
+                Tell(frame.origin, keeper.state(frame.ident, now_s))]
 
     # -- the roster and the list, at the root --------------------------------------------------------------
 
--- /dev/null
+++ b/cypressbeam/dispatch.py
@@ -0,0 +1,51 @@
+"""Which part of the core's rules takes a message: a table from type to handler. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from cypressbeam import frames
+from cypressbeam.agreement import Action, Keeper
+from cypressbeam.members import Members
+from cypressbeam.replacement import Replacement
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """The parts that take messages, and the time at which one is taken, in seconds."""
+
+    replica: Keeper
+    members: Members
+    replacement: Replacement
+    now_s: float
+
+
+#: What is done with a message. It may raise FrameError where its content cannot be.
+Handler = Callable[[Rules, Any], Sequence[Action]]
+
+HANDLERS: dict[type[frames.Frame], Handler] = {
+    frames.Pulse: lambda rules, frame: rules.replica.on_pulse(frame, rules.now_s),
+    frames.Order: lambda rules, frame: rules.replica.order(frame, rules.now_s),
+    frames.Forward: lambda rules, frame: rules.replica.forward(frame, rules.now_s),
+    frames.Committed: lambda rules, frame: rules.replica.committed(frame, rules.now_s),
+    frames.Read: lambda rules, frame: rules.replica.read(frame, rules.now_s),
+    frames.Confirm: lambda rules, frame: rules.replica.on_confirm(frame),
+    frames.Confirmed: lambda rules, frame: rules.replica.on_confirmed(frame, rules.now_s),
+    frames.ViewIs: lambda rules, frame: rules.replica.on_view(frame, rules.now_s),
+    frames.Prepare: lambda rules, frame: rules.replica.on_prepare(frame, rules.now_s),
+    frames.Promise: lambda rules, frame: rules.replica.on_promise(frame, rules.now_s),
+    frames.Accept: lambda rules, frame: rules.replica.on_accept(frame, rules.now_s),
+    frames.StaleDisk: lambda rules, frame: rules.replica.on_stale(frame, rules.now_s),
+    frames.Change: lambda rules, frame: rules.replacement.order(frame, rules.now_s),
+    frames.Level: lambda rules, frame: rules.members.on_level(frame, rules.now_s),
+    frames.Levelled: lambda rules, frame: rules.members.on_levelled(frame),
+}
+
+
+def dispatch(frame: frames.Frame, replica: Keeper, members: Members, replacement: Replacement,
+             now_s: float) -> Sequence[Action]:
+    """What a message asks for; nothing where it is none of the core's. Raises FrameError."""
+    handler = HANDLERS.get(type(frame))
+    return handler(Rules(replica, members, replacement, now_s), frame) if handler is not None else ()
--- a/cypressbeam/node.py
+++ b/cypressbeam/node.py
@@ -14,8 +14,9 @@
 from cypressbeam import configuration, control, early, frames
 from cypressbeam.chain import Tell
 from cypressbeam.control import Control
-from cypressbeam.core import Core, Founding
+from cypressbeam.core import Core
 from cypressbeam.distribution.outlier_reports import OutlierReports
+from cypressbeam.founding import Founding
 from cypressbeam.gate import OVERFLOW, Gate
 from cypressbeam.peers import Link, Peers
 from cypressbeam.relay import Handlers, Relay
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from cypressbeam import frames
+from cypressbeam.dispatch import HANDLERS
 from cypressbeam.node import GatewayNode
 from cypressbeam.settings import parse
 from tests.loopback import run
@@ -28,6 +29,7 @@
         everywhere = set(edge.handlers)
         groups = (TRANSFER, CORE, CORE_MACHINE, everywhere)
         assert sum(map(len, groups)) == len(frames.FRAMES) and set().union(*groups) == set(frames.FRAMES.values())
+        assert set(HANDLERS) | {frames.Ask} == CORE
         tables = (edge.relay.handlers(), edge.outliers.handlers(), edge.node_handlers())
         assert sum(map(len, tables)) == len(everywhere)
         machine = GatewayNode(parse(BOOT + f"stateDir={tmp_path}", "boot.conf"))
