--- a/lab/rules_orders.py
+++ b/lab/rules_orders.py
@@ -197,7 +197,7 @@
             "                                        for name in [*self.view.group, *self.checks_of])\n\n"
             "    def confirm"),
     orders("a pulse tells the version of the check", AGREEMENT,
-            "disk = 1 + 2 * self.checks if self.disk_works(now_s) else 0", "disk = int(self.disk_works(now_s))"),
+            "disk = 1 + 2 * self.checks if self.offers_disk(now_s) else 0", "disk = int(self.offers_disk(now_s))"),
     orders("which stays known of a disk in trouble", AGREEMENT,
             "        if frame.disk:\n            self.checks_of[ip]",
             "        if True:\n            self.checks_of[ip]"),
--- a/tests/test_member_rules.py
+++ b/tests/test_member_rules.py
@@ -30,8 +30,8 @@
 
 def test_only_the_head_of_an_active_view_that_leads_steps() -> None:
     world = quiet_world()
-    assert [Members(world.keepers[ip], 1, 0.0).heads(world.now_s) for ip in "abc"] == [True, False, False]
-    assert not Members(world.keepers["a"], 1, 0.0).heads(world.now_s + 5.0)
+    assert [Members(world.keepers[ip], 1).heads(world.now_s) for ip in "abc"] == [True, False, False]
+    assert not Members(world.keepers["a"], 1).heads(world.now_s + 5.0)
 
 
 def test_the_chain_of_a_view_that_adds_a_machine_holds_that_machine() -> None:
@@ -43,7 +43,7 @@
 
 @pytest.mark.parametrize("wrong", [{"name": "d/8"}, {"group": (*GROUP, NEW)}, {"epoch": 255}])
 def test_a_stand_by_answers_what_is_for_it_of_a_view_that_does_not_count_it_yet(wrong: dict[str, object]) -> None:
-    members = Members(standing_by(), 1, 0.0)
+    members = Members(standing_by(), 1)
     (answer,) = told(members.on_level(level(), 0.0))
     assert answer == frames.Levelled(NEW, 256, 1, histories.digest(ONE.body))
     assert members.on_level(level(**wrong), 0.0) == []
@@ -52,7 +52,7 @@
 def test_one_is_level_by_the_body_s_digest_and_at_most_one_entry_behind() -> None:
     world = quiet_world()
     keeper = world.keepers["a"]
-    members = Members(keeper, 1, 0.0)
+    members = Members(keeper, 1)
     echo(keeper, world.now_s, pulse(NEW, epoch=0, held=0, entry=0, standing=0))
     assert members.standing_by(world.now_s) == {"d": NEW} and keeper.member is not None
     keeper.member.last = Entry(3, 256, 30, 20, b"30:x")
@@ -67,7 +67,7 @@
     for wait in ("proposal", "lost disk", ""):
         world = quiet_world()
         keeper = world.keepers["a"]
-        members = Members(keeper, 1, 0.0)
+        members = Members(keeper, 1)
         if wait == "proposal":
             keeper.propose(world.now_s)
         elif wait == "lost disk":
