--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from cypressbeam import frames, operate
+from cypressbeam import frames
+from cypressbeam.admin import errors, membership, status
 from cypressbeam.agreement import DEAD_S
 from cypressbeam.chain import Tell, View, ip_of
 from cypressbeam.members import ADD, REMOVE, REPLACE, Change, Known, judge
@@ -60,8 +61,12 @@
 # -- the rules on a simulated core ---------------------------------------------------------------------------------
 
 
-def world_at_rest(seed: int = 3) -> Turnover:
-    world = Turnover(seed, loss=0.0)
+#: Long enough to tell a restart from a machine that is gone for good.
+PATIENT_S = 5.0
+
+
+def world_at_rest(seed: int = 3, replace_after_s: float = turnover.REPLACE_AFTER_S) -> Turnover:
+    world = Turnover(seed, replace_after_s, loss=0.0)
     world.run(1.0)
     ordered(world)
     return world
@@ -186,26 +191,26 @@
 
 
 def test_a_head_that_stood_still_counts_no_silence_from_before() -> None:
-    world = world_at_rest()
+    world = world_at_rest(replace_after_s=PATIENT_S)
     head = newest(world).head
     victim = next(ip for ip in "abc" if ip != head)
     world.stop(victim)
     world.run(world.now_s + 3.0)
-    here, keeper = world.members[newest(world).head], world.keepers[newest(world).head]
-    assert list(here.silent_since_s) == [victim]
+    here, keeper = world.replacements[newest(world).head], world.keepers[newest(world).head]
+    assert list(here.silence.since_s) == [victim]
     for heard in keeper.heard.values():  # old pulses, read all at once when it goes on
         heard.at_s += 30.0 if heard.name != f"{victim}/0" else 0.0
-    assert here.heads(world.now_s + 30.0)
+    assert here.members.heads(world.now_s + 30.0)
     here.tick(world.now_s + 30.0)
-    assert not here.silent_since_s and here.due(world.now_s + 30.0) is None
+    assert not here.silence.since_s and here.next_change(world.now_s + 30.0) is None
 
 
 def test_only_a_member_that_is_silent_for_long_is_replaced_by_itself() -> None:
-    world = world_at_rest()
+    world = world_at_rest(replace_after_s=PATIENT_S)
     world.run(world.now_s + 2.0)
     victim = ip_of(newest(world).chain[-1])
     world.stop(victim)
-    world.run(world.now_s + turnover.REPLACE_AFTER_S - 0.5)
+    world.run(world.now_s + PATIENT_S - 0.5)
     world.start(victim)
     world.run(world.now_s + 4.0)
     assert group_of(world) == "abc"  # a restart is no loss
@@ -214,7 +219,7 @@
     world.run(world.now_s + 8.0)
     assert group_of(world) == "abc"  # nor has one that stood still a word on others' silence
     world.stop(victim)
-    world.run(world.now_s + turnover.REPLACE_AFTER_S + DEAD_S + 5.0)
+    world.run(world.now_s + PATIENT_S + DEAD_S + 5.0)
     assert victim not in group_of(world) and len(group_of(world)) == 3
     others = newest(world).members
     world.stop(others[0])  # a second loss
@@ -361,8 +366,8 @@
                                 ((where, "add", "", spare.ip), "404: no machine with a disk"),
                                 ((where, "add", "", one.ip), "409: .* is a member already"),
                                 ((where, "remove", spare.ip, ""), "404: .* is no member")):
-                with pytest.raises(operate.Refused, match=told):
-                    await operate.change_members(*asked)
+                with pytest.raises(errors.Refused, match=told):
+                    await membership.change_members(*asked)
             bad = json.dumps({"change": "add", "new": spare.ip, "base": []}).encode()
             for body in (b"{", bad):
                 answer = await send(where, b"POST /-/System.Members HTTP/1.1\r\nHost: c\r\nContent-Length: %d\r\n\r\n%s"
@@ -371,16 +376,16 @@
             made.system.machines.append(spare)
             await made.system.start(spare)
             async with asyncio.timeout(20.0):
-                while not (await operate.state(where))["standingBy"]:
+                while not (await status.read_state(where))["standingBy"]:
                     await asyncio.sleep(0.1)
-            assert "stands by" in operate.describe_members(await operate.state(where))
+            assert "stands by" in membership.describe_members(await status.read_state(where))
             waited: list[str] = []
-            done = await operate.change_members(where, "replace", one.ip, spare.ip, waited.append)
+            done = await membership.change_members(where, "replace", one.ip, spare.ip, waited.append)
             assert one.ip not in done["group"] and spare.ip in done["group"] and waited
             await made.system.kill(one)
-            state = await operate.state(where)
+            state = await status.read_state(where)
             assert spare.ip in [ip_of(name) for name in state["chain"]] and len(state["group"]) == 3
             assert (await read_back(made.edges[0])).status == 200
-            assert operate.describe_members(state).startswith(f"epoch {state['epoch']}: 3 members, 2 are a majority")
+            assert membership.describe_members(state).startswith(f"epoch {state['epoch']}: 3 members, 2 are a majority")
     run(scenario())
 
--- a/tests/test_quorum_loss.py
+++ b/tests/test_quorum_loss.py
@@ -14,7 +14,7 @@
 import cbor2
 import pytest
 
-from cypressbeam import operate
+from cypressbeam.admin import backup, config_calls, errors, membership, status
 from cypressbeam.quorum_loss import PAGE, SECTION, Absence, QuorumWatch, judge, read_silences
 from lab import repair
 from lab.simulation import Disk, Host
@@ -156,7 +156,7 @@
     """What `status` of a node tells, once it tells of a lost majority and since when."""
     async with asyncio.timeout(within_s):
         while True:
-            found = await operate.state(machine.control)
+            found = await status.read_state(machine.control)
             loss = found["quorumLoss"]
             if loss is not None and all(one["for_s"] is not None for one in loss["missing"]):
                 return found
@@ -182,21 +182,21 @@
     async def scenario() -> None:
         async with rig(edges=1) as made:
             edge, system, copy = made.edges[0], made.system, tmp_path / "copy"
-            assert (await operate.state(edge.control))["quorumLoss"] is None
-            await operate.backup(edge.control, copy)
+            assert (await status.read_state(edge.control))["quorumLoss"] is None
+            await backup.backup(edge.control, copy)
             left, gone = await lose_two_disks(made)
             async with asyncio.timeout(TOLD_S):
                 await logged(left, "no majority of the core: 1 of 3 members are there")
                 for machine in (left, edge):
                     found = await statement(machine)
                     assert {one["ip"] for one in found["quorumLoss"]["missing"]} == {one.ip for one in gone}
-                    for text in (operate.describe_state(found), operate.describe_members(found)):
+                    for text in (status.describe_state(found), membership.describe_members(found)):
                         assert "! no majority of the core" in text and PAGE in text
             assert (await ask(edge)).status == 200  # it serves on
-            with pytest.raises(operate.Refused, match="503"):
-                await operate.push(edge.control, cbor2.dumps(demo_configuration(2)), 1)
+            with pytest.raises(errors.Refused, match="503"):
+                await config_calls.push(edge.control, cbor2.dumps(demo_configuration(2)), 1)
             await system.kill(left)
-            found = await operate.state(edge.control)
+            found = await status.read_state(edge.control)
             assert len(found["quorumLoss"]["missing"]) == 3 and not found["quorumLoss"]["here"]
             shutil.rmtree(left.folder / "state")
             for machine in (left, *gone):
@@ -204,17 +204,17 @@
             async with asyncio.timeout(20.0):
                 while True:
                     try:
-                        await operate.restore(edge.control, copy, over=False)
+                        await backup.restore(edge.control, copy, over=False)
                         break
-                    except (operate.Refused, OSError, EOFError, TimeoutError):  # the new core has no chain yet
+                    except (errors.Refused, OSError, EOFError, TimeoutError):  # the new core has no chain yet
                         await asyncio.sleep(0.1)
             async with asyncio.timeout(10.0):
-                await operate.push(edge.control, cbor2.dumps(demo_configuration(2)), 1)
+                await config_calls.push(edge.control, cbor2.dumps(demo_configuration(2)), 1)
                 while cbor2.loads((await read_back(edge)).body)["revision"] != 2:
                     await asyncio.sleep(0.05)
-                while (await operate.state(edge.control))["node"]["revision"] != 2:
+                while (await status.read_state(edge.control))["node"]["revision"] != 2:
                     await asyncio.sleep(0.05)
-            assert (await operate.state(edge.control))["quorumLoss"] is None
+            assert (await status.read_state(edge.control))["quorumLoss"] is None
             assert (await ask(edge, ident="r2")).status == 200
     run(scenario())
 
@@ -229,6 +229,6 @@
             await made.system.start(away[0])
             async with asyncio.timeout(10.0):
                 await logged(left, "a majority of the core is there again")
-                while (await operate.state(made.edges[0].control))["quorumLoss"] is not None:
+                while (await status.read_state(made.edges[0].control))["quorumLoss"] is not None:
                     await asyncio.sleep(0.1)
     run(scenario())
