--- a/lab/closing.py
+++ b/lab/closing.py
@@ -144,11 +144,7 @@
 def play(seed: int, case: Case | None = None) -> Found:
     """One history. Raises AssertionError where a callback of a node failed."""
     history = History(seed, case or Case.drawn(seed))
-    try:
-        history.cluster.run(history.play())
-        assert not history.cluster.net.faults, history.cluster.net.faults
-    finally:
-        history.cluster.close()
+    history.cluster.play_out(history.play())
     return history.found
 
 
--- a/lab/commands/histories.py
+++ b/lab/commands/histories.py
@@ -10,15 +10,30 @@
 
 from lab.commands.parallel import BATCH, first_failure, silence_simulated_nodes
 
+Command = Callable[..., None]
+fault_option = click.option(
+    "--fault", help="Leave out a rule, by its name, or `all` one after another: each must be found.")
+
+
+def search_options(seeds: int, jobs: int, seeds_help: str) -> Callable[[Command], Command]:
+    """The options of a search through seeds: how many, from which on, in how many processes."""
+    def add(command: Command) -> Command:
+        for option in (
+                click.option("--jobs", default=jobs, show_default=True, help="Processes at once."),
+                click.option("--first", default=0, show_default=True, help="The first seed."),
+                click.option("--seeds", default=seeds, show_default=True, help=seeds_help)):
+            command = option(command)
+        return command
+    return add
+
+
 #: Plays histories with a rule left out, by its name, or none: the first that fails, and what it breaks.
 Search = Callable[[tuple[str, range]], tuple[int, str] | None]
 
 
 @click.command()
-@click.option("--seeds", default=10_000, show_default=True, help="How many histories.")
-@click.option("--first", default=0, show_default=True, help="The first seed.")
-@click.option("--jobs", default=8, show_default=True, help="Processes at once.")
-@click.option("--fault", help="Leave out a rule, by its name, or `all` one after another: each must be found.")
+@search_options(seeds=10_000, jobs=8, seeds_help="How many histories.")
+@fault_option
 def core(seeds: int, first: int, jobs: int, fault: str | None) -> None:
     """Histories of the core on a simulated network, clock and disk, checked for linearizability.
 
@@ -54,10 +69,8 @@
 
 
 @click.command()
-@click.option("--seeds", default=2_000, show_default=True, help="How many histories.")
-@click.option("--first", default=0, show_default=True, help="The first seed.")
-@click.option("--jobs", default=8, show_default=True, help="Processes at once.")
-@click.option("--fault", help="Leave out a rule, by its name, or `all` one after another: each must be found.")
+@search_options(seeds=2_000, jobs=8, seeds_help="How many histories.")
+@fault_option
 def turnover(seeds: int, first: int, jobs: int, fault: str | None) -> None:
     """Histories of a core whose members come and go. Exit code 3 if one fails; with --fault, if none does."""
     from lab.turnover import FAULTS, search_with
@@ -66,10 +79,8 @@
 
 
 @click.command()
-@click.option("--seeds", default=300, show_default=True, help="How many histories.")
-@click.option("--first", default=0, show_default=True, help="The first seed.")
-@click.option("--jobs", default=4, show_default=True, help="Processes at once.")
-@click.option("--fault", help="Leave out a rule, by its name, or `all` one after another: each must be found.")
+@search_options(seeds=300, jobs=4, seeds_help="How many histories.")
+@fault_option
 @click.option("--times", is_flag=True, help="Print how long each kind of replacement takes instead, as a table.")
 def replacements(seeds: int, first: int, jobs: int, fault: str | None, times: bool) -> None:
     """Core machines replaced by others, with other troubles meanwhile and one more loss afterwards; whole nodes.
@@ -86,10 +97,8 @@
 
 
 @click.command()
-@click.option("--seeds", default=200, show_default=True, help="How many histories.")
-@click.option("--first", default=0, show_default=True, help="The first seed.")
-@click.option("--jobs", default=4, show_default=True, help="Processes at once.")
-@click.option("--fault", help="Leave out a rule, by its name, or `all` one after another: each must be found.")
+@search_options(seeds=200, jobs=4, seeds_help="How many histories.")
+@fault_option
 @click.option("--times", is_flag=True, help="Print how long the recovery takes instead, as a table.")
 def closing(seeds: int, first: int, jobs: int, fault: str | None, times: bool) -> None:
     """All power lost right after a confirmed change, with one disk; whole nodes start again.
@@ -106,10 +115,8 @@
 
 
 @click.command()
-@click.option("--seeds", default=2000, show_default=True, help="How many storms.")
-@click.option("--first", default=0, show_default=True, help="The first seed.")
-@click.option("--jobs", default=8, show_default=True, help="Processes at once.")
-@click.option("--fault", help="Leave out a rule, by its name, or `all` one after another: each must be found.")
+@search_options(seeds=2000, jobs=8, seeds_help="How many storms.")
+@fault_option
 def attempts(seeds: int, first: int, jobs: int, fault: str | None) -> None:
     """All states of an attempt at a request, and storms of servers that do their worst (docs/design/attempts.md).
 
@@ -133,9 +140,7 @@
 
 
 @click.command()
-@click.option("--seeds", default=200, show_default=True, help="How many histories.")
-@click.option("--first", default=0, show_default=True, help="The first seed.")
-@click.option("--jobs", default=8, show_default=True, help="Processes at once.")
+@search_options(seeds=200, jobs=8, seeds_help="How many histories.")
 def chaos(seeds: int, first: int, jobs: int) -> None:
     """Whole systems through kills, lost disks, cuts and the loss of all power, on a simulated network.
 
@@ -149,9 +154,7 @@
 
 
 @click.command()
-@click.option("--seeds", default=200, show_default=True, help="How many histories.")
-@click.option("--first", default=0, show_default=True, help="The first seed.")
-@click.option("--jobs", default=2, show_default=True, help="Processes at once.")
+@search_options(seeds=200, jobs=2, seeds_help="How many histories.")
 @click.option("--fault", default="", help="Leave out a rule, by its name: it must be found.")
 def cuts(seeds: int, first: int, jobs: int, fault: str) -> None:
     """Machines of the core cut off from each other: how soon all are under the new root and hold what was confirmed.
--- a/lab/replacements.py
+++ b/lab/replacements.py
@@ -18,7 +18,7 @@
 import math
 import random
 import statistics
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Coroutine, Iterator
 from contextlib import AbstractContextManager
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -116,6 +116,14 @@
                 return True
         return False
 
+    def play_out(self, scenario: Coroutine[Any, Any, None]) -> None:
+        """Run a scenario to its end, and close the cluster. Raises AssertionError where a callback of a node failed."""
+        try:
+            self.run(scenario)
+            assert not self.net.faults, self.net.faults
+        finally:
+            self.close()
+
     def has_copies(self, view: View) -> bool:
         """Whether a view's chain lacks no more than the members that may be lost beside the one that is replaced."""
         return len(view.chain) >= len(view.group) - (self.cores // 2 - 1)
@@ -271,11 +279,7 @@
 def play(seed: int, case: Case | None = None) -> Found:
     """One history. Raises AssertionError where a callback of a node failed."""
     history = History(seed, case or Case.drawn(seed))
-    try:
-        history.cluster.run(history.play())
-        assert not history.cluster.net.faults, history.cluster.net.faults
-    finally:
-        history.cluster.close()
+    history.cluster.play_out(history.play())
     return history.found
 
 
