End the coroutines of machines without power before a simulated loop is closed

They were collected later and cancelled their tasks on a loop that was closed: four warnings in the suite. Seen in tests/test_replacement.py before and not after.

--- a/lab/membership.py
+++ b/lab/membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 import random
 import statistics
@@ -196,7 +197,10 @@
     def close(self) -> None:
         for task in asyncio.all_tasks(self.loop):
             task.cancel()
-        self.run(asyncio.sleep(TICK_S))  # those of machines without power never wake
+        self.run(asyncio.sleep(TICK_S))
+        for task in asyncio.all_tasks(self.loop):  # those of machines without power never wake
+            with contextlib.suppress(RuntimeError):
+                task.get_coro().close()
         for host in self.net.hosts.values():
             self.net.stop(host)
         self.loop.close()
