Read the body of a request that offers an upgrade of the protocol

Orders at the standalone proxy ran empty too, and a valid configuration posted so was refused with 400.

Cause: with an offer, httptools calls on_message_complete after the head and raises HttpParserUpgrade; RequestReader entered the request as complete at that call and read nothing more. request_head then wrote the length of the empty body.

Change: the offer is ignored (RFC 9110, 7.8). A second parser that gets only the framing headers reads the body, through the same callbacks, so limits and the memory budget hold. The connection closes after the response, as before (test_a_connection_is_closed_after_the_response_to_an_upgrade_request is unchanged).

--- a/cypressbeam/proxy/http_requests.py
+++ b/cypressbeam/proxy/http_requests.py
@@ -23,6 +23,8 @@
 #: Retry-After, in seconds, when the memory for request bodies is exhausted.
 BODY_BUDGET_RETRY_AFTER_S = b"1"
 TIMEOUT_PATTERN = re.compile(rb"([0-9]{1,10}(?:\.[0-9]{1,6})?)([mu])")
+#: The headers that say where a body ends.
+FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 PLAIN_KEY_PATTERN = re.compile(rb"k=[0-9A-Za-z_.~-]+")
 MICROSECONDS_PER_UNIT = {b"m": 1000.0, b"u": 1.0}
 
@@ -65,6 +67,14 @@
     `MAX_BODY_TRANSIT_US` before the arrival of its last byte if that is later."""
 
 
+@dataclass(frozen=True, slots=True)
+class BodyCallbacks:
+    """The callbacks of a parser that reads the body of a request whose head has been read by another one."""
+
+    on_body: Callable[[bytes], None]
+    on_message_complete: Callable[[], None]
+
+
 class RequestReader:
     """Parses the bytes of one client connection into complete requests. The first error is final: the start of the
     next request is unknown after it, so later input is neither parsed nor kept."""
@@ -91,11 +101,7 @@
             return
         self.raw_bytes += len(data)
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:  # not supported: the request is answered, later input is not read
-            if self.messages:
-                self.messages[-1].keep_alive = False
-            self.close()
+            self.parse(self.parser, data)
         except httptools.HttpParserError as err:
             self.error = self.error or BadRequestError(400, f"malformed request: {err}")
         # Raw bytes are counted because the parser buffers a line until it is complete.
@@ -108,6 +114,31 @@
         if self.error is not None:
             self.close()
 
+    def parse(self, parser: httptools.HttpRequestParser, data: bytes) -> None:
+        """Parse bytes, also those of a body after an offer to upgrade. Raises httptools.HttpParserError."""
+        try:
+            parser.feed_data(data)
+        except httptools.HttpParserUpgrade as stopped:
+            if parser.get_method() == b"CONNECT":  # refused by every application; what follows is no HTTP
+                self.messages[-1].keep_alive = False
+                self.close()
+                return
+            (head_end,) = stopped.args
+            self.parse_body(parser, data[head_end:])
+
+    def parse_body(self, stopped: httptools.HttpRequestParser, data: bytes) -> None:
+        """Go on with the body of the current request, whose parser stopped after the head, in a parser of its own.
+
+        httptools takes an offer to upgrade for an upgrade and reads no body after it. The offer is declined by ignoring
+        it (RFC 9110, 7.8), and the connection closes after the response."""
+        head = [b"%s / HTTP/%s\r\n" % (stopped.get_method(), stopped.get_http_version().encode())]
+        head += [b"%s: %s\r\n" % (name, value) for lower, name, value in self.headers if lower in FRAMING_HEADERS]
+        head.append(b"Connection: close\r\n\r\n")
+        # Set before it is fed: without a body, the request is complete at the end of the head.
+        self.parser = parser = httptools.HttpRequestParser(BodyCallbacks(self.on_body, self.on_message_complete))
+        parser.feed_data(b"".join(head))
+        parser.feed_data(data)
+
     def max_raw_bytes(self) -> int:
         return self.limits.max_head_bytes + MAX_FRAMING_FACTOR * len(self.body)
 
@@ -181,10 +212,13 @@
 
     def on_message_complete(self) -> None:
         assert self.parser is not None
+        method = self.parser.get_method()
+        if self.parser.should_upgrade() and method != b"CONNECT":
+            return  # only the head is complete: `parse_body` goes on
         arrived_us = max(self.started_us, self.now_us() - MAX_BODY_TRANSIT_US)
         self.messages.append(
             RequestMessage(
-                self.parser.get_method(),
+                method,
                 self.target,
                 self.headers,
                 bytes(self.body),
