Count a server connection only once the attempt that opened it has it

Cause: connection_made entered a connection in Upstream.connections. If the connect was cancelled between that call and the return of create_connection, uvloop closed the socket without a call of connection_lost, and the entry stayed. has_capacity counts the entries; at 1,480 of them nothing was sent any more.

Change: the task that opens a connection owns it until it enters it, and closes it wherever it ends before.

--- a/cypressbeam/proxy/upstream.py
+++ b/cypressbeam/proxy/upstream.py
@@ -107,6 +107,7 @@
         self.address = address  # stored, because the system knows none after a reset
         self.opened_us = opened_us
         self.idle_since_s = 0.0
+        self.established = False
         self.attempt: Attempt | None = None
         self.write_paused = False
         self.closed = False
@@ -122,9 +123,12 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports do not derive from asyncio.Transport: a check of the type would fail.
         self.transport: asyncio.Transport = cast(asyncio.Transport, transport)
+        self.established = True
+        if self.closed:  # the attempt ended while the connection came up
+            self.transport.abort()
+            return
         # With a limit of 0, pause_writing is called whenever the system does not accept all bytes of a write at once.
         self.transport.set_write_buffer_limits(high=0)
-        self.upstream.connections.add(self)
 
     def pause_writing(self) -> None:
         self.write_paused = True
@@ -221,8 +225,9 @@
     def close(self) -> None:
         if not self.closed:
             self.closed = True
-            # Not close(), which would first write the rest of the request although the attempt has ended.
-            self.transport.abort()
+            if self.established:
+                # Not close(), which would first write the rest of the request although the attempt has ended.
+                self.transport.abort()
             self.upstream.drop(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -349,15 +354,21 @@
         return True
 
     async def connect(self, attempt: Attempt, address: Address) -> None:
+        connection = ServerConnection(self, attempt.server, address, self.now_us())
         try:
             async with asyncio.timeout(self.connect_timeout_s):
-                opened_us = self.now_us()
-                _, connection = await self.loop.create_connection(
-                    lambda: ServerConnection(self, attempt.server, address, opened_us), *address
-                )
+                await self.loop.create_connection(lambda: connection, *address)
+        except asyncio.CancelledError:
+            connection.close()
+            raise
         except (OSError, TimeoutError):
+            connection.close()
             self.end(attempt, result_of(SendProgress.NOTHING, EndCause.NO_CONNECTION))
             return
+        # Counted only now: if the task is cancelled after connection_made, uvloop closes the connection without calling
+        # connection_lost.
+        if not connection.closed:
+            self.connections.add(connection)
         attempt.connecting = None
         # Nothing is written if, in the meantime, the request ended, the server started to drain or changed its address,
         # or the server closed the connection again, for instance because it has too many.
