Answer the pipelined requests that a stopping node has begun to read

Cause: ClientConnection.respond closed behind any response of a stopping node, and stop_accepting closed slow readers whose next requests waited; has_pending_responses counted neither.

Change: a stopping node says `Connection: close` behind the last request that it has begun to read. A connection on which requests wait is never closed as idle. At the end of the grace period what waits is not taken up.

--- a/cypressbeam/node/gateway_node.py
+++ b/cypressbeam/node/gateway_node.py
@@ -198,6 +198,8 @@
                 self.gateway.requests or any(frontend.has_pending_responses() for frontend in self.frontends)
             ) and self.loop.time() < deadline_s:
                 await asyncio.sleep(0.02)
+            for frontend in self.frontends:
+                frontend.drop_queued_requests()
             for request in [*self.gateway.requests.values()]:
                 self.gateway.time_is_up(request)
             for frontend in self.frontends:
--- a/cypressbeam/proxy/frontend.py
+++ b/cypressbeam/proxy/frontend.py
@@ -118,10 +118,17 @@
     def has_pending_responses(self) -> bool:
         """Whether a request is partly received, a response is pending, or part of a response is still unsent."""
         return bool(self.partial) or any(
-            connection.current is not None or connection.transport.get_write_buffer_size()
+            connection.current is not None or connection.reader.messages or connection.transport.get_write_buffer_size()
             for connection in self.connections
         )
 
+    def drop_queued_requests(self) -> None:
+        """Take up no more pipelined requests, at the end of a shutdown. None was forwarded."""
+        for connection in self.connections:
+            if connection.reader.messages:
+                connection.reader.messages.clear()
+                connection.closing = True
+
     def reject_partial_requests(self) -> None:
         """Reject partly received requests at the end of a shutdown. None was forwarded, so its client may retry."""
         for connection in [*self.partial]:
@@ -228,8 +235,8 @@
             group[self] = since_s
 
     def close_unless_readable(self) -> bool:
-        """Close the connection unless it has unread input. Returns whether it was closed."""
-        if has_unread_input(self.transport):
+        """Close the connection unless it has input that was not answered or not read. Returns whether it was closed."""
+        if self.reader.messages or has_unread_input(self.transport):
             return False
         self.begin_close()
         return True
@@ -292,7 +299,9 @@
             return
         if message.method == b"HEAD" and response.body:  # the body would be read as the next response
             response = Response(response.status, response.headers, length=len(response.body))
-        close = self.closing or self.frontend.stopping or not message.keep_alive
+        # A stopping node still answers what it has begun to read.
+        last = self.frontend.stopping and not (self.reader.messages or self.reader.partial)
+        close = self.closing or last or not message.keep_alive
         self.write(response, close)
         if close:
             self.linger()
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -694,3 +694,57 @@
             assert (await client.answer()).status == 504
 
     run(scenario())
+
+
+@pytest.mark.parametrize("second_arrives", ["with the first", "in two parts"])
+def test_a_stopping_node_answers_pipelined_requests_that_it_has_read(second_arrives: str) -> None:
+    """Guards against requests that are read and dropped unanswered: the connection closed behind the first response."""
+
+    async def scenario() -> None:
+        async with running_node() as node_fixture:
+            client = await node_fixture.client()
+            second = f"GET /read HTTP/1.1\r\n{VALID_HEADERS.replace('r1', 'r2')}\r\n".encode()
+            early = len(second) if second_arrives == "with the first" else 30
+            client.raw(f"GET /read HTTP/1.1\r\n{VALID_HEADERS}\r\n".encode() + second[:early])
+            first_received = await node_fixture.servers[0].next()
+            node_fixture.frontend.stopping = True
+            node_fixture.frontend.stop_accepting()
+            first_received.reply(body=b"first")
+            answer = await client.answer()
+            assert (answer.body, answer.header(b"connection")) == (b"first", None)
+            assert node_fixture.frontend.has_pending_responses()
+            client.raw(second[early:])
+            (await node_fixture.servers[0].next()).reply(body=b"second")
+            answer = await client.answer()
+            assert (answer.body, answer.header(b"connection")) == (b"second", b"close")
+            assert await client.closed() and not node_fixture.frontend.has_pending_responses()
+
+    run(scenario())
+
+
+def test_a_slow_reader_with_pipelined_requests_is_not_closed_before_they_are_answered() -> None:
+    """Guards against the same where the next request waits for the client to read: it is idle and yet not finished."""
+
+    async def scenario() -> None:
+        async with running_node() as node_fixture:
+            client = await node_fixture.client()
+            client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            for number in range(200):
+                client.send(ident=f"first-{number}")
+                client.send(ident=f"second-{number}")
+                (await node_fixture.servers[0].next()).reply(body=b"a" * 65_536)
+                while f"first-{number}" in node_fixture.node.requests:
+                    await asyncio.sleep(0)
+                await asyncio.sleep(0.001)
+                (connection,) = node_fixture.frontend.connections
+                if connection.write_paused:
+                    break
+                (await node_fixture.servers[0].next()).reply()
+                while node_fixture.node.requests:
+                    await asyncio.sleep(0)
+            assert connection.reader.messages
+            node_fixture.frontend.stopping = True
+            node_fixture.frontend.stop_accepting()
+            assert not connection.closing and node_fixture.frontend.has_pending_responses()
+
+    run(scenario())
