Call a node not ready while it gets no server connection for longer than contactMs

Change: Upstream notes since when attempts find no connection available. Longer than contactMs, and with none free now, /-/ready answers 503 and a line in the log says why. It is ready again with the first free connection.

Evidence: test_a_gateway_that_gets_no_server_connections_is_not_ready failed before (the gateway has no such state) and passes now. The test of a partly written request also covers a body that is written beside its head.

--- a/cypressbeam/protocol/settings.py
+++ b/cypressbeam/protocol/settings.py
@@ -24,6 +24,8 @@
 class Envelope:
     """Time limits and retry limits of the system, in the units that the names give."""
 
+    contact_ms: int = 4000
+    """After this long without trouble, the system counts as undisturbed again."""
     converge_ms: int = 3000
     drain_deadline_ms: int = 3000
     grace_period_s: float = 6.0
@@ -164,6 +166,7 @@
         share_faults=reader.flag("gateway.shareFaults", True),
         replace_after_s=reader.number("gateway.replaceAfterS", REPLACE_AFTER_FRACTION * sync_s),
         envelope=Envelope(
+            contact_ms=reader.number("envelope.contactMs", 4000),
             converge_ms=reader.number("envelope.convergeMs", 3000),
             drain_deadline_ms=reader.number("envelope.drainDeadlineMs", 3000),
             grace_period_s=reader.number("envelope.gracePeriodS", 6.0),
--- a/cypressbeam/proxy/gateway.py
+++ b/cypressbeam/proxy/gateway.py
@@ -150,7 +150,20 @@
         self.start_periodic_tasks()
 
     def can_serve(self) -> bool:
-        return self.table is not None and self.listed
+        return self.table is not None and self.listed and not self.lacks_connections()
+
+    def lacks_connections(self) -> bool:
+        """Whether no server connection has been available for so long that other nodes should get the clients."""
+        return self.upstream.exhausted_for_s() * 1000 > self.settings.envelope.contact_ms
+
+    def sweep(self) -> None:
+        super().sweep()
+        if self.lacks_connections():
+            log.warning(
+                "not ready: no server connection was available for %.1f s, all %d are in use",
+                self.upstream.exhausted_for_s(),
+                self.upstream.max_connections,
+            )
 
     # -- updates -------------------------------------------------------------------------------------------
 
--- a/cypressbeam/proxy/upstream.py
+++ b/cypressbeam/proxy/upstream.py
@@ -279,6 +279,8 @@
         self.connections: set[ServerConnection] = set()
         self.stale: list[ServerConnection] = []
         self.connecting = 0
+        self.exhausted_since_s: float | None = None
+        """When attempts began to find no connection available; None once one has found one."""
 
     # -- servers -----------------------------------------------------------------------------------------
 
@@ -324,12 +326,16 @@
             return
         connection = None if attempt.again else self.take_idle(server_pool, attempt.request)
         if connection is not None:
+            self.exhausted_since_s = None
             connection.send(attempt)
             return
         if not self.has_capacity():
+            if self.exhausted_since_s is None:
+                self.exhausted_since_s = self.loop.time()
             log.warning("server %s: no connection available, all %d are in use", attempt.server, self.max_connections)
             self.end(attempt, result_of(SendProgress.NOTHING, EndCause.NO_CONNECTION))
             return
+        self.exhausted_since_s = None
         self.connecting += 1
         attempt.connecting = self.loop.create_task(self.connect(attempt, server_pool.address))
         # Counted here and not in the task, because a task that is cancelled early never runs.
@@ -350,9 +356,19 @@
         server_pool.idle.extend(reversed(already_used))
         return found
 
+    def below_limit(self) -> bool:
+        """Whether another connection may be opened without closing one."""
+        return len(self.connections) + self.connecting < self.max_connections
+
+    def exhausted_for_s(self) -> float:
+        """For how long attempts have found no connection available; 0 if one would find one now."""
+        if self.exhausted_since_s is None or self.below_limit() or any(pool.idle for pool in self.pools.values()):
+            return 0.0
+        return self.loop.time() - self.exhausted_since_s
+
     def has_capacity(self) -> bool:
         """Whether another connection may be opened; if need be the longest idle one is closed."""
-        if len(self.connections) + self.connecting < self.max_connections:
+        if self.below_limit():
             return True
         idle = [server_pool.idle[0] for server_pool in self.pools.values() if server_pool.idle]
         if not idle:
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import pytest
 
@@ -17,7 +18,7 @@
 from cypressbeam.distribution import endpoint_list
 from cypressbeam.protocol import frames
 from cypressbeam.protocol.configuration import Configuration, RouteConfiguration, ServiceConfiguration
-from cypressbeam.protocol.settings import parse
+from cypressbeam.protocol.settings import Envelope, parse
 from cypressbeam.proxy.attempts import EndCause
 from cypressbeam.proxy.frontend import Frontend
 from cypressbeam.proxy.gateway import Gateway
@@ -224,3 +225,43 @@
         await within_timeout(asyncio.sleep(0))
 
     run(scenario())
+
+
+def test_a_gateway_that_gets_no_server_connections_is_not_ready(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against a node that refuses everything for good and calls itself ready (review/3)."""
+
+    async def scenario() -> None:
+        servers = [Server("p", slots=64, work_s=0.3)]
+        await servers[0].listen()
+        async with running_gateway(servers) as (gateway, frontend):
+            assert frontend.server is not None
+            port = frontend.server.sockets[0].getsockname()[1]
+            gateway.settings = replace(gateway.settings, envelope=Envelope(contact_ms=100))
+            gateway.upstream.max_connections = 1
+            busy, other = Conversation(port), Conversation(port)
+            first = asyncio.ensure_future(busy.read("r1"))
+            await asyncio.sleep(0.05)
+            assert await other.read("r2") == 503 and gateway.can_serve()  # a moment of it is no reason
+            await asyncio.sleep(0.12)
+            assert not gateway.can_serve()
+            gateway.sweep()
+            assert "not ready: no server connection was available for" in caplog.text
+            assert await first == 200 and gateway.can_serve()  # a connection is free again
+            assert await other.read("r3") == 200 and gateway.can_serve()
+
+    run(scenario())
+
+
+class Conversation:
+    """A client that reads on one connection."""
+
+    def __init__(self, port: int) -> None:
+        self.port = port
+
+    async def read(self, name: str) -> int:
+        """The status of the answer to one request."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(f"GET /read/1 HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {name}\r\n\r\n".encode())
+        head = await within_timeout(reader.readuntil(b"\r\n\r\n"))
+        writer.close()
+        return int(head.split()[1])
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -534,7 +534,8 @@
     run(scenario())
 
 
-def test_a_connection_that_breaks_after_a_partial_write_may_have_run_the_request() -> None:
+@pytest.mark.parametrize("separate_body", [False, True])
+def test_a_connection_that_breaks_after_a_partial_write_may_have_run_the_request(separate_body: bool) -> None:
     async def scenario() -> None:
         server = StubServer()
         await server.start()
@@ -545,8 +546,9 @@
 
         upstream = Upstream(5_000_000, 60_000_000, 4, lambda: 0, on_end)
         upstream.update_server("s", ("127.0.0.1", server.port), LONG_AGO_MS, True)
-        message = b"POST /order HTTP/1.1\r\nContent-Length: 50000000\r\n\r\n" + b"a" * 50_000_000
-        upstream.start(Attempt("r1", 0, "s", message, 0))
+        head, body = b"POST /order HTTP/1.1\r\nContent-Length: 50000000\r\n\r\n", b"a" * 50_000_000
+        attempt = Attempt("r1", 0, "s", head, 0, body=body) if separate_body else Attempt("r1", 0, "s", head + body, 0)
+        upstream.start(attempt)
         peer = await within_timeout(server.opened.get())
         peer.transport.pause_reading()
         while not any(connection.write_paused for connection in upstream.connections):
