--- a/cypressbeam/proxy/frontend.py
+++ b/cypressbeam/proxy/frontend.py
@@ -15,6 +15,7 @@
     MAX_COPIED_BODY_BYTES,
     Limits,
     Response,
+    count_unread_bytes,
     has_unread_input,
 )
 
@@ -26,8 +27,8 @@
 
 BACKLOG = 1024
 SWEEP_INTERVAL_S = 0.2
-#: A client that does not read its response for this long is disconnected.
-WRITE_TIMEOUT_S = 2.0
+#: How long a connection stays open behind its last response at least, for the client to read it.
+FLUSH_TIME_S = 2.0
 #: How long a closing connection is still read, so that a reset does not destroy the response.
 LINGER_S = 1.0
 #: Retry-After, in seconds, for clients that a stopping node rejects; they can retry at another node.
@@ -174,16 +175,18 @@
             for connection, since_s in list(group.items()):
                 if now_s - since_s < timeout_s:
                     break
-                connection.close_unless_readable()
+                if not connection.write_paused:
+                    connection.close_unless_readable()
         for connection, since_s in list(self.partial.items()):
             in_body = connection.reader.headers_done
             if now_s - since_s >= (limits.body_timeout_s if in_body else limits.head_timeout_s):
                 connection.reject(BadRequestError(408, "the request did not come whole in time"))
-        for connection, since_s in list(self.idle.items()):
-            if connection.write_paused and now_s - since_s >= WRITE_TIMEOUT_S:
+        for connection in list(self.idle):
+            if connection.write_paused and not connection.client_reads(now_s):
                 connection.transport.abort()
         for connection, until_s in list(self.closing.items()):
-            if now_s >= until_s:
+            reads = connection.client_reads(now_s)
+            if now_s >= until_s and not reads:
                 connection.transport.abort()
 
 
@@ -200,6 +203,8 @@
         self.admitted = True
         self.has_sent_request = False
         self.write_paused = False  # the client does not read the response
+        self.unread_bytes = 0  # of responses, when they were last looked at
+        self.last_read_s = 0.0  # when `unread_bytes` last changed
         self.group: ConnectionTimes | None = None  # the frontend's map that contains this connection
         self.opened_s = 0.0
 
@@ -327,6 +332,16 @@
         if self.current is None and self.reader.messages and not self.closing:
             self.handle_next()
 
+    def client_reads(self, now_s: float) -> bool:
+        """Whether responses are still to be read, and the client has read some of them within the idle timeout. Called
+        periodically while they are."""
+        if not self.transport.get_write_buffer_size():
+            return False
+        unread_bytes = count_unread_bytes(self.transport)
+        if unread_bytes != self.unread_bytes:
+            self.unread_bytes, self.last_read_s = unread_bytes, now_s
+        return now_s - self.last_read_s < self.frontend.limits.idle_timeout_s
+
     def pause_writing(self) -> None:
         # Otherwise a client that sends requests without reading could make the node buffer unlimited responses.
         self.write_paused = True
@@ -368,7 +383,7 @@
             self.move_to(self.frontend.closing, now_s + LINGER_S)
             self.transport.write_eof()
         else:
-            self.move_to(self.frontend.closing, now_s + WRITE_TIMEOUT_S)
+            self.move_to(self.frontend.closing, now_s + FLUSH_TIME_S)
             self.transport.close()
 
 
--- a/cypressbeam/proxy/http_responses.py
+++ b/cypressbeam/proxy/http_responses.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import fcntl
 import re
 import select
+import sys
+import termios
 from dataclasses import dataclass, field
 
 import httptools
@@ -59,6 +63,16 @@
     return bool(poll.poll(0))
 
 
+def count_unread_bytes(transport: asyncio.Transport) -> int:
+    """How many written bytes the peer has not acknowledged: those that wait in the transport, and in the system."""
+    size = transport.get_write_buffer_size()
+    if transport.get_extra_info("unread") is None:  # a real socket
+        with contextlib.suppress(OSError, ValueError):  # it has just been closed
+            queued = fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.TIOCOUTQ, bytes(4))
+            size += int.from_bytes(queued, sys.byteorder)
+    return size
+
+
 class ResponseTooLargeError(CypressbeamError, ValueError):
     """A response that exceeds a limit."""
 
