--- a/cypressbeam/__main__.py
+++ b/cypressbeam/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 
 
@@ -13,6 +14,8 @@
     interface.
     """
     if sys.argv[1:] == ["node"]:
+        # Before the slow imports: SIGHUP must not end a node that starts. Its event loop handles the signal later.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         from cypressbeam.node.early_listener import open_front_listener
 
         front_socket = open_front_listener(os.environ)
--- a/cypressbeam/node/run.py
+++ b/cypressbeam/node/run.py
@@ -5,7 +5,6 @@
 import gc
 import logging
 import os
-import signal
 import socket
 import sys
 
@@ -24,7 +23,6 @@
 
     :param front_socket: the client listener if it is already open.
     """
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the event loop handles it
     logging.basicConfig(level=logging.INFO, format="%(levelname)s %(name)s: %(message)s", stream=sys.stderr)
     for handler in logging.getLogger().handlers:
         handler.addFilter(LogRateLimiter())
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -8,6 +8,7 @@
 import os
 import resource
 import signal
+import subprocess
 import sys
 from pathlib import Path
 from typing import Any
@@ -329,3 +330,17 @@
         assert b"Traceback" not in await node.terminate() and node.process.returncode == 0
 
     run(scenario())
+
+
+@pytest.mark.parametrize("module", [["cypressbeam", "node"], ["cypressbeam.standalone"]])
+def test_a_sighup_during_the_imports_does_not_end_the_process(module: list[str], tmp_path: Path) -> None:
+    """Guards against a restart that fails because the settings file changes while the program still starts."""
+    slow_import = tmp_path / "uvloop.py"  # stands in for the imports, which take longer on a busy machine
+    slow_import.write_text("import sys, time\nprint('importing', flush=True)\ntime.sleep(0.5)\nsys.exit(7)\n", "utf-8")
+    path = os.pathsep.join([str(tmp_path), str(Path(__file__).parent.parent)])
+    with subprocess.Popen(
+        [sys.executable, "-m", *module], env=os.environ | {"PYTHONPATH": path}, stdout=subprocess.PIPE, text=True
+    ) as process:
+        assert process.stdout is not None and process.stdout.readline() == "importing\n"
+        process.send_signal(signal.SIGHUP)
+        assert process.wait(20.0) == 7
