--- a/lab/commands/measurements.py
+++ b/lab/commands/measurements.py
@@ -21,6 +21,27 @@
     click.echo(table([int(size) for size in sizes.split(",")], seeds))
 
 
+@click.command()
+@click.option("--seed", default=1, show_default=True, help="The first seed.")
+@click.option("--seeds", default=1, show_default=True, help="So many soaks, one after another.")
+@click.option("--minutes", default=1.0, show_default=True, help="Minutes of each soak.")
+@click.option("--processes", default=5, show_default=True, help="Node processes: three core machines, the rest edge.")
+@click.option("--clients", default=24, show_default=True, help="Clients, one connection each.")
+def soak(seed: int, seeds: int, minutes: float, processes: int, clients: int) -> None:
+    """Real processes on loopback under drawn clients, signals and configurations; exit code 1 if a rule broke."""
+    import uvloop
+
+    from lab.soak.run import Plan
+    from lab.soak.run import soak as play
+
+    broken = 0
+    for one in range(seed, seed + seeds):
+        report = uvloop.run(play(Plan(one, minutes, max(processes - 3, 1), clients)))
+        click.echo(report.text())
+        broken += bool(report.findings)
+    sys.exit(1 if broken else 0)
+
+
 @click.command()
 @click.option("--seeds", default=3, show_default=True, help="Histories of each kind.")
 def repair(seeds: int) -> None:
--- a/lab/commands/program.py
+++ b/lab/commands/program.py
@@ -17,6 +17,7 @@
     histories.traces,
     measurements.fleet_membership,
     measurements.repair,
+    measurements.soak,
     measurements.disk,
     measurements.news,
     measurements.fetches,
