--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -26,7 +26,9 @@
 RESTART_DELAY_S = 0.3
 #: Before the program's first line runs, nothing in it can keep SIGHUP from ending the process.
 INTERPRETER_START_S = 0.2
-SERVERS_EACH, SLOTS, QUEUE, WORK_S = 3, 16, 64, 0.01
+SERVERS_EACH, SLOTS, QUEUE = 3, 16, 64
+#: The mean work on a request.
+WORK_S = 0.12
 #: The pause between the steps of a series.
 STEP_PAUSE_S = (0.3, 2.5)
 SECOND_S = 1.0
@@ -101,7 +103,9 @@
         await self.platform.listen()
         for number in range(2 * SERVERS_EACH):
             service, zone = ("finder", "booker")[number % 2], ("east", "west")[number // 2 % 2]
-            server = Server(service, zone, slots=SLOTS, queue=QUEUE, work_s=WORK_S)
+            server = Server(
+                service, zone, slots=SLOTS, queue=QUEUE, work_of=lambda _: WORK_S, rng=random.Random(number)
+            )
             await server.listen()
             self.platform.servers.append(server)
 
