--- a/lab/soak/judge.py
+++ b/lab/soak/judge.py
@@ -48,6 +48,8 @@
     def __init__(self) -> None:
         self.tries: list[Try] = []
         self.troubles: list[Trouble] = []
+        self.lags: list[tuple[float, float]] = []
+        """When the clients' own event loop stood still, and for how many seconds."""
 
     def ends(self) -> Counter[str]:
         """How tries ended, for the report."""
@@ -87,7 +89,8 @@
             return False
         if any(t.machine == one.machine and t.from_s <= one.ended_s <= t.until_s for t in self.troubles):
             return False
-        return runs > 0 or one.ended_s > one.sent_s + LOSS_SLACK_S
+        lag_s = sum(lag_s for at_s, lag_s in self.lags if one.sent_s <= at_s <= one.ended_s + lag_s)
+        return runs > 0 or one.ended_s > one.sent_s + LOSS_SLACK_S + lag_s
 
 
 def judge_run(run: tuple[str, bytes, bytes, bytes, bytes], sent: dict[str, DrawnRequest]) -> str:
--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -32,6 +32,7 @@
 #: The pause between the steps of a series.
 STEP_PAUSE_S = (0.3, 2.5)
 SECOND_S = 1.0
+LAG_CHECK_INTERVAL_S = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,7 +113,7 @@
     async def play(self) -> None:
         """Clients and series beside each other, until the time is over."""
         until_s = self.loop.time() + 60 * self.plan.minutes
-        checks = asyncio.create_task(self.check_readiness())
+        checks = asyncio.gather(self.check_readiness(), self.watch_lag())
         while len(self.in_choice) < len(self.system.fronts):
             await asyncio.sleep(0.01)
         clients = [
@@ -144,6 +145,14 @@
                         self.in_choice.pop(machine.name, None)
             await asyncio.sleep(CHECK_INTERVAL_S)
 
+    async def watch_lag(self) -> None:
+        """Note when this process's event loop stands still: ends of connections are seen late then."""
+        while True:
+            due_s = self.loop.time() + LAG_CHECK_INTERVAL_S
+            await asyncio.sleep(LAG_CHECK_INTERVAL_S)
+            if (lag_s := self.loop.time() - due_s) > LAG_CHECK_INTERVAL_S:
+                self.judge.lags.append((self.loop.time(), lag_s))
+
     async def series(
         self, rng: random.Random, until_s: float, step: Callable[[random.Random], Awaitable[None]]
     ) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -80,6 +80,16 @@
     assert run(scenario()) == expected
 
 
+def test_a_stall_of_the_clients_excuses_only_as_much_time() -> None:
+    async def scenario(ended_s: float) -> list[str]:
+        judge = Judge()
+        judge.tries.append(dataclasses.replace(CUT, ended_s=ended_s))
+        judge.lags.append((1.3, 0.2))
+        return [finding.partition(":")[0] for finding in judge.findings([])]
+
+    assert run(scenario(1.45)) == [] and run(scenario(1.55)) == ["LOST"]
+
+
 def test_a_killed_machine_excuses_what_it_cut() -> None:
     async def scenario() -> None:
         late = dataclasses.replace(CUT, ended_s=1.5)
