--- a/review/4/run.py
+++ b/review/4/run.py
@@ -41,9 +41,9 @@
         for machine in system.machines:
             machine.bootstrap = False
         if TROUBLE:
-            # These files are written anew, from the operator's list as it stands now; one stays as it was.
+            # These files are written anew, from the operator's list as it stands now; two stay as they were.
             seeds = [machine.ip for machine in system.edges[:3]]
-            renewed = [*system.edges, *system.cores[:2]]
+            renewed = [*system.edges, system.cores[0]]
             for machine in renewed:
                 machine.seeds = seeds
                 system.write_settings(machine)
