--- a/review/rig2/system.py
+++ b/review/rig2/system.py
@@ -103,6 +103,7 @@
     def __init__(self, platform: Address, edges: int = 4, cores: int = 3, network: Network | None = None) -> None:
         self.platform = platform
         self.network = network or Network()
+        self.envelope = dict(ENVELOPE)
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         roles = tomllib.loads((ROOT / "deploy" / "system.toml").read_text(encoding="utf-8"))["roles"]
         self.commands = {role["on"]: role["run"].split(" ") for role in roles.values()}
@@ -148,7 +149,7 @@
             "tolerance.machineLosses": 1,
             "tolerance.zoneMap": 0,
             "tolerance.regionLosses": 0,
-            **{f"envelope.{name}": value for name, value in ENVELOPE.items()},
+            **{f"envelope.{name}": value for name, value in self.envelope.items()},
             "platform.address": f"{self.platform[0]}:{self.platform[1]}",
             "platform.ratePerS": 54.0,
             "platform.delayMs": 800,
