--- a/review/rig2/standins.py
+++ b/review/rig2/standins.py
@@ -93,7 +93,7 @@
                 request = await read_message(reader)
                 writer.write(await self.answer(request))
                 await writer.drain()
-        except (EOFError, OSError, asyncio.LimitOverrunError, ValueError):
+        except (EOFError, OSError, asyncio.LimitOverrunError, ValueError, asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
@@ -177,7 +177,7 @@
                 body = cbor2.dumps({"servers": self.shown(), "nextToken": None})
                 writer.write(pack("HTTP/1.1 200 OK", {"Content-Type": "application/cbor"}, body))
                 await writer.drain()
-        except (EOFError, OSError):
+        except (EOFError, OSError, asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
