Keep node addresses in the core, so that a leader finds nodes that know nobody

It needs settings files that differ: the edge nodes name edge nodes as seeds, the leader's file the core machines.

Cause: an edge node has no disk and asks its seeds; these had restarted as well and named nobody. The leader announced itself to the seeds of its own file only, and knew of other nodes only by a registry in memory, whose silent nodes it forgot.

Change: the core keeps the addresses of registered nodes for an hour, on the disks of its members (docs/design/node-directory.md), and the leader announces itself to those that are silent: connection lost, registration overdue, or not registered 1 s after it took the lead. Why it works: whatever the seeds are, each node that has ever been registered hears from the leader, and names it to those that ask.

Test: test_nodes_with_other_seeds_than_the_leader_return_after_a_restart, 6 variants with 4 drawn start orders each.

--- a/cypressbeam/node/core_machine.py
+++ b/cypressbeam/node/core_machine.py
@@ -24,6 +24,7 @@
 from cypressbeam.distribution.endpoint_list import Endpoint
 from cypressbeam.distribution.tree_node import TreeNode
 from cypressbeam.node.background_tasks import BackgroundTasks
+from cypressbeam.node.directory_replication import DirectoryReplication
 from cypressbeam.node.effect_executor import EffectExecutor
 from cypressbeam.node.leader_role import LeaderRole
 from cypressbeam.protocol import configuration, frames
@@ -72,7 +73,8 @@
         self.rng: random.Random = random.SystemRandom()
         self.tasks = BackgroundTasks()
         self.executor = EffectExecutor(self, store, send, self.tasks)
-        self.leader_role = LeaderRole(settings, tree, send, lambda: self.rng, self.vouched_leader)
+        self.replication = DirectoryReplication(tree, send)
+        self.leader_role = LeaderRole(settings, tree, send, lambda: self.rng, self.vouched_leader, self.replication)
         self.replica: Replica | None = None
         """None until the disk state is loaded, and while it is being replaced by an empty one."""
         self.membership: MembershipManager | None = None
@@ -138,6 +140,7 @@
         self.dispatcher.add_membership(self.membership, self.replacement)
         replica.restore_marks(loaded.durable_marks, loaded.pending_marks, loaded.reported_marks)
         self.marks_saved_s = self.loop.time()
+        self.replication.directory.add(loaded.node_addresses, self.loop.time())
         if loaded.view is not None:
             log.info("view %d loaded: chain %s", loaded.view.epoch, " ".join(loaded.view.chain))
         self.executor.execute(
@@ -323,10 +326,12 @@
             self.watch_quorum(self.replica, now_s)
 
     def save_marks(self, replica: Replica, now_s: float) -> None:
-        """Save the marks reported by peers with the next disk write, or on their own after `SAVE_MARKS_INTERVAL_S`.
-        Each rejected member is logged once."""
+        """Save the marks reported by peers, and the node directory, with the next disk write, or on their own after
+        `SAVE_MARKS_INTERVAL_S`. Each rejected member is logged once."""
         rollback = replica.rollback
-        if not self.store.stage_marks(rollback.reported):
+        marks_changed = self.store.stage_marks(rollback.reported)
+        directory_changed = self.store.stage_addresses(self.replication.directory.addresses())
+        if not (marks_changed or directory_changed):
             self.marks_saved_s = now_s
         elif now_s > self.marks_saved_s + SAVE_MARKS_INTERVAL_S:
             self.marks_saved_s = now_s
@@ -386,6 +391,15 @@
             SendMessage(frame.origin, replica.status(frame.request_id, now_s)),
         ]
 
+    def on_directory_update(self, link: Link, frame: frames.NodeDirectoryUpdate) -> None:
+        """Handle node addresses from the leader, or at the leader from a member."""
+        self.replication.on_update(link, frame, self.loop.time())
+
+    def on_link_lost(self, link: Link) -> None:
+        """The connection to a node was lost: if it has restarted, it may not find the leader by itself."""
+        if self.tree.position.is_root:
+            self.replication.directory.note_lost(link.ip, self.loop.time())
+
     def on_bootstrap_request(self, link: Link, frame: frames.BootstrapRequest) -> None:
         """Handle a proposal of the first view. Only the first is ever accepted, and it counts once it is on disk."""
         replica = self.replica
--- a/cypressbeam/node/gateway_node.py
+++ b/cypressbeam/node/gateway_node.py
@@ -356,6 +356,8 @@
     def on_link_lost(self, link: Link) -> None:
         """Handle the loss of a connection to another node."""
         self.tree.link_lost(link)
+        if self.core is not None:
+            self.core.on_link_lost(link)
 
     def node_handlers(self) -> Handlers:
         """Return the handlers of every node, beside those of the tree. Replies are matched to pending control calls."""
@@ -375,6 +377,7 @@
             return {}
         return {
             frames.BootstrapRequest: core.on_bootstrap_request,
+            frames.NodeDirectoryUpdate: core.on_directory_update,
             frames.SuspectReport: lambda link, frame: (
                 core.leader_role.on_suspect(frame.name) if self.tree.position.is_root else None
             ),
--- a/cypressbeam/node/leader_role.py
+++ b/cypressbeam/node/leader_role.py
@@ -16,6 +16,7 @@
 from cypressbeam.distribution.endpoint_list import Endpoint
 from cypressbeam.distribution.node_registry import RENEWAL_INTERVAL_S, NodeRegistry
 from cypressbeam.distribution.tree_node import TreeNode
+from cypressbeam.node.directory_replication import DirectoryReplication
 from cypressbeam.node.endpoint_poller import EndpointPoller
 from cypressbeam.protocol import frames
 from cypressbeam.protocol.settings import Settings
@@ -26,7 +27,7 @@
 #: A new leader knows only the nodes that have registered since it took the lead. It reports no node count before this
 #: delay.
 NODE_COUNT_DELAY_S = 5.0
-#: How often the leader announces itself to seeds that have not registered.
+#: How often the leader announces itself to seeds and known nodes that have not registered.
 INTRODUCTION_INTERVAL_S = 0.5
 #: A node is removed if its registration is this late and it does not answer its probes.
 SUSPECT_TIMEOUT_S = 1.0
@@ -47,6 +48,7 @@
         send: Callable[[str, frames.Frame], None],
         random_source: Callable[[], random.Random],
         vouched_leader: Callable[[], str],
+        replication: DirectoryReplication,
     ) -> None:
         """
         :param vouched_leader: returns the address of the leader if this machine may name it now, otherwise "".
@@ -56,6 +58,7 @@
         self.send = send
         self.random_source = random_source
         self.vouched_leader = vouched_leader
+        self.replication = replication
         self.loop = asyncio.get_running_loop()
         self.registry = NodeRegistry(settings.node)
         self.leading_since_s = 0.0
@@ -75,6 +78,7 @@
         self.tree.become_root(self.random_source().getrandbits(TERM_BITS) | 1, view.epoch)
         self.registry = NodeRegistry(settings.node)
         self.registry.register(self.own_registration(), self.leading_since_s)
+        self.replication.begin_term(self.leading_since_s)
         if settings.platform is not None:
             poller = EndpointPoller(settings.platform, update_endpoints, self.random_source())
             self.poller = self.loop.create_task(poller.run())
@@ -109,26 +113,31 @@
             self.poller = None
 
     def tick(self, now_s: float) -> None:
-        """Remove nodes whose registration has expired, and announce this machine to the seeds."""
+        """Remove nodes whose registration has expired, and announce this machine to nodes that may not know it."""
         self.registry.nodes[self.settings.node].seen_s = now_s
         for name in self.registry.expire(now_s):
             log.warning("node %s expired: no registration", name)
         self.tree.registration.edge_count = self.edge_count()
         if now_s >= self.last_introduction_s + INTRODUCTION_INTERVAL_S:
             self.introduce(now_s)
+            if self.vouched_leader():
+                self.replication.share(now_s)
 
     def introduce(self, now_s: float) -> None:
-        """Announce the leader to seeds that have not registered.
+        """Announce the leader to seeds that have not registered, and to nodes that were registered once and are silent.
 
-        After all machines lost power, the seeds may not know any other machine, while all other nodes ask them for the
-        leader.
+        After a restart the seeds may not know any other machine, while all other nodes ask them for the leader. They
+        need not be the seeds of the leader's own settings.
         """
         self.last_introduction_s = now_s
         if not self.vouched_leader():
             return
+        directory = self.replication.directory
+        self.replication.note_registrations(self.registry.nodes.values(), now_s)
         known = {node.ip for node in self.registry.nodes.values()}
-        for ip, _ in self.settings.seeds:
-            if ip not in known:
+        missing_seeds = [ip for ip in self.replication.seeds() if ip not in known]
+        for ip in dict.fromkeys([*missing_seeds, *directory.due_announcements(now_s)]):
+            if ip != self.settings.ip:
                 self.send(ip, self.tree.fence.redirect())
 
     def edge_count(self) -> int:
--- a/cypressbeam/protocol/frames/registry.py
+++ b/cypressbeam/protocol/frames/registry.py
@@ -34,6 +34,7 @@
     JoinRequest,
     KeepAlive,
     LeaderRedirect,
+    NodeDirectoryUpdate,
     ParentAssignment,
     RootHeartbeat,
     Subscribe,
@@ -84,6 +85,7 @@
         SpareAnnouncement,
         ConfigurationDelta,
         RollbackNotice,
+        NodeDirectoryUpdate,
     )
 }
 
--- a/cypressbeam/protocol/frames/tree.py
+++ b/cypressbeam/protocol/frames/tree.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from cypressbeam.protocol.frames.codec import Frame
+from cypressbeam.protocol.frames.validation import check_epochs, require
 
 #: Flags of a node: it serves clients; it may be a member of the core; it may bootstrap the core; its event loop lags,
 #: and it should have no children.
@@ -45,7 +46,7 @@
 @dataclass(frozen=True, slots=True)
 class LeaderRedirect(Frame):
     """The address of the root: the reply to `JoinRequest` from a node that is not the root, and of any node to a
-    message with an older epoch. A new root sends it to the seeds without a request."""
+    message with an older epoch. The root sends it to seeds and known nodes that are silent without a request."""
 
     CODE = 2
     FIELDS = "sel"
@@ -179,6 +180,23 @@
     FIELDS = ""
 
 
+@dataclass(frozen=True, slots=True)
+class NodeDirectoryUpdate(Frame):
+    """Leader to member of the core: the addresses of all nodes in its directory. Member to leader: addresses to add."""
+
+    CODE = 52
+    FIELDS = "el"
+    epoch: int
+    """The epoch in which the leader leads."""
+    addresses: tuple[str, ...] = ()
+
+    def check(self) -> None:
+        """Check that the addresses can be stored as one list."""
+        check_epochs(self, self.epoch)
+        for address in self.addresses:
+            require(bool(address) and "," not in address, self, f"{address!r} is not an address")
+
+
 @dataclass(frozen=True, slots=True)
 class Unsubscribed(Frame):
     """Parent to child: the subscription has ended, and the child has to find another parent. The connection stays open
--- a/cypressbeam/storage/store.py
+++ b/cypressbeam/storage/store.py
@@ -70,6 +70,8 @@
     """The incarnation of this process, which the first write stores."""
     reported_marks: dict[str, HighWaterMarks] = field(default_factory=dict)
     """The highest marks that other members have reported, by name."""
+    node_addresses: tuple[str, ...] = ()
+    """The directory of node addresses (docs/design/node-directory.md)."""
 
 
 class Storage(Protocol):
@@ -98,6 +100,9 @@
         Returns whether they warrant a write of their own. Changed entry numbers do not: each member's own entry is a
         good enough estimate of them."""
 
+    def stage_addresses(self, addresses: tuple[str, ...]) -> bool:
+        """Include the directory of node addresses in the next write. Returns whether it differs from the stored one."""
+
     def close(self) -> None:
         """Start closing; pending operations complete first."""
 
@@ -131,6 +136,9 @@
         self.staged_marks: dict[str, HighWaterMarks] = {}
         self.stored_marks: dict[str, HighWaterMarks] = {}
         """The marks on disk as last reported to the event loop; the store's thread may have written later ones."""
+        self.staged_addresses: tuple[str, ...] = ()
+        self.stored_addresses: tuple[str, ...] = ()
+        """The directory on disk, as last reported to the event loop."""
 
     def _work(self) -> None:
         while (task := self.work.get()) is not None:
@@ -255,6 +263,7 @@
             loaded = await self.run(read_all, reset=True)
         self.stored_marks, self.staged_marks = dict(loaded.reported_marks), dict(loaded.reported_marks)
         self.pending_marks = loaded.pending_marks if loaded.pending_marks != loaded.durable_marks else None
+        self.stored_addresses = self.staged_addresses = loaded.node_addresses
         return loaded
 
     def stage_marks(self, marks: dict[str, HighWaterMarks]) -> bool:
@@ -264,9 +273,15 @@
             self.stored_marks
         )
 
+    def stage_addresses(self, addresses: tuple[str, ...]) -> bool:
+        """Include the directory in the next write; returns whether it differs from the stored one."""
+        self.staged_addresses = addresses
+        return addresses != self.stored_addresses
+
     async def write(self, operation: Callable[[Any], None]) -> None:
-        """Run an operation, and store the incarnation of this process and the staged marks in the same transaction."""
+        """Run an operation, and store the incarnation of this process and what is staged in the same transaction."""
         marks, pending_marks = self.staged_marks, self.pending_marks
+        addresses, stored_addresses = self.staged_addresses, self.stored_addresses
 
         def save(database: Any) -> None:
             operation(database)
@@ -276,9 +291,11 @@
                     [("incarnation", pending_marks.incarnation), ("draw", pending_marks.incarnation_id)],
                 )
             write_marks(database, marks)
+            if addresses != stored_addresses:
+                database.execute("insert or replace into meta values ('nodes', ?)", (",".join(addresses),))
 
         await self.run(save)
-        self.stored_marks = marks
+        self.stored_marks, self.stored_addresses = marks, addresses
         if pending_marks is not None:
             self.pending_marks = None
 
@@ -427,4 +444,5 @@
         durable_marks,
         pending_marks,
         unpack_marks(meta.get("marks", "")),
+        tuple(str(meta["nodes"]).split(",")) if meta.get("nodes") else (),
     )
--- a/lab/rules_fencing.py
+++ b/lab/rules_fencing.py
@@ -323,8 +323,15 @@
     fencing(
         "a root without a majority does not introduce itself to seeds",
         LEADER_ROLE,
-        "        if not self.vouched_leader():\n            return\n        known",
-        "        known",
+        "        if not self.vouched_leader():\n            return\n        directory",
+        "        directory",
+    ),
+    fencing(
+        "a root without a majority sends its directory to no member",
+        LEADER_ROLE,
+        "            if self.vouched_leader():\n                self.replication.share(now_s)\n",
+        "            self.replication.share(now_s)\n",
+        tests=("tests/test_node_directory.py",),
     ),
     fencing(
         "a root without a majority accepts no children",
--- a/lab/simulation/disk.py
+++ b/lab/simulation/disk.py
@@ -24,6 +24,7 @@
         self.starts = 0
         self.current_marks = HighWaterMarks()
         self.peer_marks: dict[str, HighWaterMarks] = {}
+        self.node_addresses: tuple[str, ...] = ()
 
     async def load(self, reset: bool = False) -> LoadedState:
         """Load the durable state; with `reset`, an empty one under a new identity."""
@@ -37,6 +38,7 @@
             HighWaterMarks(self.kept.durable_marks.incarnation + 1, self.starts),
             self.kept.reported_marks,
         )
+        self.node_addresses = self.kept.node_addresses
         return replace(self.kept, applied_digests=dict(self.kept.applied_digests), pending_marks=self.current_marks)
 
     def stage_marks(self, marks: dict[str, HighWaterMarks]) -> bool:
@@ -44,11 +46,16 @@
         self.peer_marks = dict(marks)
         return self.current_marks != self.kept.durable_marks
 
+    def stage_addresses(self, addresses: tuple[str, ...]) -> bool:
+        """Stage the directory of node addresses. Returns whether it is still to be written."""
+        self.node_addresses = addresses
+        return addresses != self.kept.node_addresses
+
     async def sync(self) -> None:
-        """Persist the high-water marks."""
-        marks = self.peer_marks
+        """Persist the high-water marks and the directory of node addresses."""
+        marks, addresses = self.peer_marks, self.node_addresses
         await asyncio.sleep(self.sync_s)
-        self.kept = replace(self.kept, durable_marks=self.current_marks, reported_marks=marks)
+        self.kept = replace(self.kept, durable_marks=self.current_marks, reported_marks=marks, node_addresses=addresses)
 
     async def save_promise(self, epoch: int) -> None:
         """Persist a promise."""
