Use a connection that came up while the event loop was held up

Cause: a connect has 250 ms, and the event loop runs due timers before it looks at sockets. When the node itself was late by 92 to 336 ms the connect was given up although it was up; the retry budget is empty at the start, so a request that must not run twice was refused.

Change: after the time-out the loop turns four more times without waiting.

Test: test_a_connect_that_came_up_while_the_event_loop_was_held_up_is_used failed before and passes.

--- a/cypressbeam/proxy/upstream.py
+++ b/cypressbeam/proxy/upstream.py
@@ -37,6 +37,8 @@
 ADVERTISED_IDLE_SHARE = 0.8
 #: How long to wait for trailing bytes after a body that ends with a possible prefix of another response.
 TRAILING_BYTES_WAIT_S = 0.03
+#: Turns of the event loop after the timeout of a connect in which a connection that is up is still noticed.
+TURNS_AFTER_TIMEOUT = 4
 #: How many recent request IDs a connection remembers. A request is never sent twice on one connection, because a
 #: duplicate of the earlier response would be accepted as the response.
 REMEMBERED = 32
@@ -379,8 +381,7 @@
     async def connect(self, attempt: Attempt, address: Address) -> None:
         connection = ServerConnection(self, attempt.server, address, self.now_us())
         try:
-            async with asyncio.timeout(self.connect_timeout_s):
-                await self.loop.create_connection(lambda: connection, *address)
+            await self.open_connection(connection, address)
         except asyncio.CancelledError:
             connection.close()
             raise
@@ -408,6 +409,24 @@
         else:
             connection.send(attempt)
 
+    async def open_connection(self, connection: ServerConnection, address: Address) -> None:
+        """Open a connection within the timeout. Raises OSError or TimeoutError.
+
+        The event loop runs due timers before it looks at sockets. When it was held up for longer than the timeout, the
+        connection may be up without it having seen that, so it turns a few more times first."""
+        opening = self.loop.create_task(self.loop.create_connection(lambda: connection, *address))
+        opening.add_done_callback(lambda task: task.cancelled() or task.exception())  # retrieved even if cancelled here
+        try:
+            await asyncio.wait({opening}, timeout=self.connect_timeout_s)
+            for _ in range(TURNS_AFTER_TIMEOUT):
+                if not opening.done():
+                    await asyncio.sleep(0)
+            if not opening.done():
+                raise TimeoutError
+            opening.result()
+        finally:
+            opening.cancel()
+
     def connect_done(self, task: asyncio.Task[None]) -> None:
         self.connecting -= 1
         if not task.cancelled() and task.exception() is not None:
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -8,6 +8,7 @@
 import contextlib
 import gc
 import random
+import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -110,6 +111,29 @@
     run(scenario())
 
 
+def test_a_connect_that_came_up_while_the_event_loop_was_held_up_is_used() -> None:
+    """Guards against requests that are refused, and servers blamed, for a delay of the node itself (incident 032)."""
+
+    async def scenario() -> None:
+        server = StubServer()
+        await server.start()
+        ended: list[AttemptOutcome] = []
+        upstream = Upstream(50_000, 15_000_000, 10, lambda: 0, lambda attempt, ending, *_: ended.append(ending))
+        upstream.update_server("s", ("127.0.0.1", server.port), 0, True)
+        for number in range(20):
+            upstream.start(Attempt(f"r{number}", 0, "s", b"GET / HTTP/1.1\r\n\r\n", 0))
+            await take_turns(1)
+            time.sleep(0.06)
+            assert await wait_until(lambda: not upstream.connecting)
+            assert len(upstream.connections) == 1 and not ended
+            for connection in list(upstream.connections):
+                connection.end(EndCause.CANCELLED)
+            ended.clear()
+        server.stop()
+
+    run(scenario())
+
+
 ROUTE_MODES = (("read", "idempotent"), ("book", "effectful"))
 
 
