Apply a reloaded settings file, and poll the platform where it says

Cause: of a reloaded file only the seeds took effect; the leader's poller kept the address of the moment at which it took the lead.

What waits is named in one log line and keeps its value, names and addresses of the node among them, which a reload put into registrations before. The leader polls the new address from then on. System.State and `status` at any node say that polls fail, since when and why (a new message, PlatformStatus).

--- a/cypressbeam/admin/status.py
+++ b/cypressbeam/admin/status.py
@@ -40,7 +40,16 @@
             f" lag {member['lag']}, {'active' if member['active'] else 'not active'},"
             f" disk {'works' if member['disk'] else 'refuses'}{', root' if member['root'] else ''}"
         )
-    return "\n".join([*lines, *describe_quorum_loss(state)])
+    return "\n".join([*lines, *describe_quorum_loss(state), *describe_platform(state)])
+
+
+def describe_platform(state: dict[str, Any]) -> list[str]:
+    """Formats a line about failing polls of the platform; none while they succeed."""
+    platform = state.get("platform")
+    if platform is None or platform["failing_s"] is None:
+        return []
+    duration = f"{platform['failing_s']:.0f} s"
+    return [f"! polls of the platform at {platform['address']} have failed for {duration}: {platform['error']}"]
 
 
 def describe_quorum_loss(state: dict[str, Any]) -> list[str]:
--- a/cypressbeam/node/core_machine.py
+++ b/cypressbeam/node/core_machine.py
@@ -192,7 +192,12 @@
 
     def take_settings(self, settings: Settings) -> None:
         """Apply the reloaded settings."""
-        self.settings = self.leader_role.settings = settings
+        self.settings = settings
+        self.leader_role.take_settings(settings)
+        if self.replica is not None and self.membership is not None and self.replacement is not None:
+            self.replica.state.min_copies = settings.machine_losses + 1
+            self.membership.tolerated_losses = settings.machine_losses
+            self.replacement.replace_after_s = settings.replace_after_s
 
     def close(self) -> None:
         """Stop polling the platform, and close the disk."""
@@ -383,10 +388,13 @@
     def status_messages(
         self, frame: frames.StatusQuery, replica: Replica, replacement: ReplacementManager, now_s: float
     ) -> Sequence[Effect]:
-        """Return the messages that answer a status query: the spares and the status of this replica."""
+        """Return the messages that answer a status query: the spares, from a leader the polls of the platform, and the
+        status of this replica."""
         spares = replacement.describe(frame.request_id, now_s)
         silent = self.quorum_monitor.missing_durations() or spares.silent_members
+        polls = self.leader_role.describe_polls(frame.request_id)
         return [
+            *([SendMessage(frame.origin, polls)] if polls is not None else []),
             SendMessage(frame.origin, replace(spares, silent_members=silent)),
             SendMessage(frame.origin, replica.status(frame.request_id, now_s)),
         ]
--- a/cypressbeam/node/endpoint_poller.py
+++ b/cypressbeam/node/endpoint_poller.py
@@ -27,6 +27,14 @@
         self.address = address
         self.on_list = on_list
         self.rng = rng
+        self.loop = asyncio.get_running_loop()
+        self.failing_since_s: float | None = None
+        """Time of the first failure since the last list; None if the last poll succeeded."""
+        self.last_error = ""
+
+    def failing_for_s(self) -> float | None:
+        """For how long polls have failed; None if the last one succeeded."""
+        return None if self.failing_since_s is None else self.loop.time() - self.failing_since_s
 
     async def run(self) -> None:
         """Poll forever. A new connection is opened after each failure."""
@@ -38,7 +46,10 @@
                     await self.poll(connection)
                     await asyncio.sleep(POLL_INTERVAL_S)
             except Exception as err:  # noqa: BLE001 (on any error the current list stays in use and polling continues)
-                log.warning("endpoint list poll failed: %s: %s", type(err).__name__, err)
+                self.last_error = f"{type(err).__name__}: {err}".rstrip(": ")
+                if self.failing_since_s is None:
+                    self.failing_since_s = self.loop.time()
+                log.warning("endpoint list poll at %s:%d failed: %s", *self.address, self.last_error)
             finally:
                 connection.close()
             await asyncio.sleep(self.rng.uniform(*POLL_RETRY_S))
@@ -58,4 +69,5 @@
                 raise ValueError(f"status {answer.status}")
             page, page_token = read_page(answer.body)
             servers += page
+        self.failing_since_s = None
         self.on_list(servers)
--- a/cypressbeam/node/gateway_node.py
+++ b/cypressbeam/node/gateway_node.py
@@ -23,6 +23,7 @@
 from cypressbeam.protocol import configuration, frames
 from cypressbeam.protocol.address import Address
 from cypressbeam.protocol.settings import SETTINGS_VARIABLE, Settings, SettingsError, load
+from cypressbeam.protocol.settings_keys import Effect, SettingsKey
 from cypressbeam.proxy.frontend import ClientConnection, Frontend, readiness
 from cypressbeam.proxy.gateway import OVERFLOW_CONNECTIONS, Gateway
 from cypressbeam.proxy.http_requests import BadRequestError, RequestMessage
@@ -117,9 +118,9 @@
         )
         self.bootstrap: Bootstrap | None = None
         self.outliers = OutlierReports(self.tree.context, self.tree, self.eject_outliers)
-        if self.gateway is not None and settings.share_faults:
-            self.gateway.on_failure = self.outliers.record_failure
+        self.share_failures(settings.share_faults)
         self.frontends: list[Frontend] = []
+        self.client_frontend: Frontend | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         self.handlers = (
             self.tree.handlers() | self.outliers.handlers() | self.node_handlers() | self.root_handlers(self.core)
@@ -129,6 +130,11 @@
         """Create the data plane if the settings have a listener for clients."""
         return Gateway(self.settings) if self.settings.front_listener else None
 
+    def make_client_frontend(self) -> Frontend:
+        """Create the listening socket's side of the client connections."""
+        assert self.gateway is not None
+        return Frontend(self.gateway, self.gateway.client_connections, OVERFLOW_CONNECTIONS, self.gateway.limits)
+
     # -- start and stop ------------------------------------------------------------------------------------
 
     async def start(self) -> None:
@@ -148,9 +154,7 @@
             )
         if self.gateway is not None and settings.front_listener is not None:
             self.front_socket = self.front_socket or early_listener.listen(*settings.front_listener)
-            frontend = Frontend(
-                self.gateway, self.gateway.client_connections, OVERFLOW_CONNECTIONS, self.gateway.limits
-            )
+            frontend = self.client_frontend = self.make_client_frontend()
             self.frontends.append(frontend)
             task = self.loop.create_task(self.accept(frontend, settings.front_listener))
             self.tasks.add(task)
@@ -220,7 +224,7 @@
             await self.core.hand_over(until_s)
 
     def reload(self, environ: Mapping[str, str]) -> None:
-        """Reload the settings file. Only the seeds are applied without a restart; an invalid file changes nothing."""
+        """Reload the settings file. An invalid file changes nothing."""
         try:
             new_settings = load(environ)
         except SettingsError as err:
@@ -229,12 +233,22 @@
         self.take_settings(new_settings)
 
     def take_settings(self, new_settings: Settings) -> None:
-        """Apply the reloaded settings, of which only the seeds have an effect."""
-        if new_settings.seeds != self.settings.seeds:
-            log.info("settings reloaded: seeds %s", " ".join(f"{host}:{port}" for host, port in new_settings.seeds))
-        self.settings = self.tree.context.settings = new_settings
+        """Apply the reloaded settings, except for the keys that take effect at the next start (settings_keys.py)."""
+        changed = self.settings.changed_keys(new_settings)
+        log_changes(changed)
+        self.settings = self.tree.context.settings = settings = self.settings.reloaded(new_settings)
         if self.core is not None:
-            self.core.take_settings(new_settings)
+            self.core.take_settings(settings)
+        if self.gateway is not None:
+            self.gateway.take_settings(settings)
+            self.share_failures(settings.share_faults)
+        if self.client_frontend is not None and self.gateway is not None:
+            self.client_frontend.max_connections = self.gateway.client_connections
+
+    def share_failures(self, enabled: bool) -> None:
+        """Report failing servers to the leader, or stop reporting them."""
+        if self.gateway is not None:
+            self.gateway.on_failure = self.outliers.record_failure if enabled else ignore_failure
 
     def watch_settings_file(self, path: Path, last_modified_ns: int = 0) -> None:
         """Reload the settings file when it changes without a signal. Called periodically."""
@@ -368,6 +382,7 @@
             frames.ReadResult: lambda link, frame: self.control.on_read_result(frame),
             frames.MembershipChangeStatus: lambda link, frame: self.control.on_change_status(frame),
             frames.ReplicaStatus: lambda link, frame: self.state_query.on_replica_status(frame),
+            frames.PlatformStatus: lambda link, frame: self.state_query.on_platform_status(frame),
             frames.SpareAnnouncement: lambda link, frame: self.state_query.on_spare_announcement(frame),
         }
 
@@ -416,6 +431,20 @@
             bootstrap.acknowledged.add(frame.name)
 
 
+def ignore_failure(server: str) -> None:
+    """Do nothing: failures are not reported."""
+
+
+def log_changes(changed: list[SettingsKey]) -> None:
+    """Log which keys of reloaded settings have taken effect, and which wait for the next start."""
+    applied = [key.name for key in changed if key.effect is Effect.AT_ONCE]
+    waiting = [key.name for key in changed if key.effect is Effect.AT_RESTART]
+    if applied:
+        log.info("settings reloaded: %s", " ".join(applied))
+    if waiting:
+        log.warning("settings reloaded: %s will take effect at the next start", " ".join(waiting))
+
+
 async def serve(settings: Settings, front_socket: socket.socket | None = None) -> None:
     """Run a node until it is stopped."""
     loop = asyncio.get_running_loop()
--- a/cypressbeam/node/leader_role.py
+++ b/cypressbeam/node/leader_role.py
@@ -64,7 +64,10 @@
         self.leading_since_s = 0.0
         """Time when this machine took the lead."""
         self.last_introduction_s = 0.0
-        self.poller: asyncio.Task[None] | None = None
+        self.poller: EndpointPoller | None = None
+        self.polling: asyncio.Task[None] | None = None
+        self.update_from_platform: Callable[[list[Endpoint]], None] = self.update_endpoints
+        """Receives each endpoint list polled from the platform."""
         self.early_registrations: dict[str, tuple[Link, frames.JoinRequest, float]] = {}
         """Registrations received before this machine took the lead, by node, with the time of receipt."""
 
@@ -79,9 +82,8 @@
         self.registry = NodeRegistry(settings.node)
         self.registry.register(self.own_registration(), self.leading_since_s)
         self.replication.begin_term(self.leading_since_s)
-        if settings.platform is not None:
-            poller = EndpointPoller(settings.platform, update_endpoints, self.random_source())
-            self.poller = self.loop.create_task(poller.run())
+        self.update_from_platform = update_endpoints
+        self.start_polling()
         early_registrations, self.early_registrations = self.early_registrations, {}
         for link, request, received_s in early_registrations.values():
             if not link.closed and self.leading_since_s - received_s <= EARLY_REGISTRATION_MAX_AGE_S:
@@ -106,11 +108,25 @@
         self.tree.resign()
         self.close()
 
+    def start_polling(self) -> None:
+        """Poll the platform at the address in the settings."""
+        if self.settings.platform is not None:
+            self.poller = EndpointPoller(self.settings.platform, self.update_from_platform, self.random_source())
+            self.polling = self.loop.create_task(self.poller.run())
+
     def close(self) -> None:
         """Stop polling the platform."""
-        if self.poller is not None:
-            self.poller.cancel()
-            self.poller = None
+        if self.polling is not None:
+            self.polling.cancel()
+        self.poller = self.polling = None
+
+    def take_settings(self, settings: Settings) -> None:
+        """Apply reloaded settings. A leader polls a new address of the platform from now on."""
+        moved = settings.platform != self.settings.platform
+        self.settings = settings
+        if moved and self.tree.position.is_root:
+            self.close()
+            self.start_polling()
 
     def tick(self, now_s: float) -> None:
         """Remove nodes whose registration has expired, and announce this machine to nodes that may not know it."""
@@ -179,6 +195,19 @@
 
     # -- the endpoint list ---------------------------------------------------------------------------------
 
+    def describe_polls(self, request_id: int) -> frames.PlatformStatus | None:
+        """Return how the polls of the platform go, for a status query. None if this machine does not poll it."""
+        poller = self.poller
+        if poller is None:
+            return None
+        failing_for_s = poller.failing_for_s()
+        host, port = poller.address
+        if failing_for_s is None:
+            return frames.PlatformStatus(request_id, f"{host}:{port}")
+        # 0 means that polls succeed
+        failing_ms = max(int(failing_for_s * 1000), 1)
+        return frames.PlatformStatus(request_id, f"{host}:{port}", failing_ms, poller.last_error)
+
     def update_endpoints(self, servers: list[Endpoint]) -> None:
         """Handle the platform's endpoint list: broadcast the changes down the tree."""
         if not self.vouched_leader():
--- a/cypressbeam/node/state_query.py
+++ b/cypressbeam/node/state_query.py
@@ -33,6 +33,8 @@
     spares: set[str] = field(default_factory=set)
     """Names of the spares that any core machine hears."""
     silent_members: tuple[str, ...] = ()
+    platform: frames.PlatformStatus | None = None
+    """How the leader's polls of the platform go."""
     replacement_status: str = ""
     """The head's description of members that it does not hear and of a replacement in progress."""
 
@@ -92,6 +94,12 @@
             query.silent_members = frame.silent_members or query.silent_members
             query.replacement_status = frame.replacement_status or query.replacement_status
 
+    def on_platform_status(self, frame: frames.PlatformStatus) -> None:
+        """Record how the polls of the platform go. The leader sends this message before its status."""
+        query = self.pending.get(str(frame.request_id))
+        if query is not None:
+            query.platform = frame
+
     def complete(self, name: str) -> None:
         """Respond with the answers received so far."""
         query = self.pending.pop(name, None)
@@ -117,6 +125,7 @@
             "standingBy": sorted(query.spares),
             "silent": query.silent_members,
             "waits": query.replacement_status,
+            "platform": describe_platform(query.platform),
             "members": [describe_member(ip, query.answers.get(ip), head_number) for ip in sorted(query.queried)],
         }
         return Response(200, [JSON_CONTENT_TYPE], msgspec.json.encode(state))
@@ -136,6 +145,14 @@
         return {"here": loss.here, "missing": loss.missing, "text": loss.lines()} if loss is not None else None
 
 
+def describe_platform(status: frames.PlatformStatus | None) -> dict[str, Any] | None:
+    """Describe the polls of the platform. None if no leader has answered, or if it has no address of the platform."""
+    if status is None:
+        return None
+    failing_s = status.failing_ms / 1000 if status.failing_ms else None
+    return {"address": status.address, "failing_s": failing_s, "error": status.error}
+
+
 def describe_member(ip: str, state: frames.ReplicaStatus | None, head_number: int) -> dict[str, Any]:
     """Describe a core machine. Its lag is how many entries it is behind the newest one on any disk of the chain."""
     if state is None:
--- a/cypressbeam/protocol/frames/registry.py
+++ b/cypressbeam/protocol/frames/registry.py
@@ -26,7 +26,7 @@
 )
 from cypressbeam.protocol.frames.health import LeaveNotice, OutlierEjection, OutlierReport, SuspectReport
 from cypressbeam.protocol.frames.membership import CatchUp, CatchUpAck, MembershipChangeRequest, MembershipChangeStatus
-from cypressbeam.protocol.frames.status import ReplicaStatus, SpareAnnouncement, StatusQuery
+from cypressbeam.protocol.frames.status import PlatformStatus, ReplicaStatus, SpareAnnouncement, StatusQuery
 from cypressbeam.protocol.frames.tree import (
     ConfigurationAnnouncement,
     ConfigurationDelta,
@@ -86,6 +86,7 @@
         ConfigurationDelta,
         RollbackNotice,
         NodeDirectoryUpdate,
+        PlatformStatus,
     )
 }
 
--- a/cypressbeam/protocol/frames/status.py
+++ b/cypressbeam/protocol/frames/status.py
@@ -47,6 +47,21 @@
     """A combination of VIEW_ACTIVE, DISK_WORKS and IS_ROOT."""
 
 
+@dataclass(frozen=True, slots=True)
+class PlatformStatus(Frame):
+    """Sent by the leader along with `ReplicaStatus`: how its polls of the platform's endpoint list go."""
+
+    CODE = 53
+    FIELDS = "qsqs"
+    request_id: int
+    address: str
+    """Host and port of the platform."""
+    failing_ms: int = 0
+    """For how long polls have failed, in ms; 0: the last one succeeded."""
+    error: str = ""
+    """The last error."""
+
+
 @dataclass(frozen=True, slots=True)
 class SpareAnnouncement(Frame):
     """Sent along with `ReplicaStatus`: the spares, and from the head also the silent members."""
--- a/cypressbeam/protocol/settings.py
+++ b/cypressbeam/protocol/settings.py
@@ -6,13 +6,13 @@
 import math
 import re
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import TypeVar
 
 from cypressbeam.errors import CypressbeamError
 from cypressbeam.protocol.address import Address, read_address
-from cypressbeam.protocol.settings_keys import KEYS_BY_NAME, Users, ValueKind
+from cypressbeam.protocol.settings_keys import KEYS_BY_NAME, SETTINGS_KEYS, Effect, SettingsKey, Users, ValueKind
 
 log = logging.getLogger(__name__)
 
@@ -72,6 +72,20 @@
     """A member that has been silent for this long is replaced by a spare machine; 0 disables replacement. The default
     is a quarter of `syncS`, so that the whole replacement fits into that time (docs/design/members.md)."""
 
+    def value_of(self, key: SettingsKey) -> object:
+        """The value of a key; None if no process uses it."""
+        owner = self.envelope if key.field.startswith("envelope.") else self
+        return getattr(owner, key.field.rpartition(".")[2]) if key.field else None
+
+    def changed_keys(self, new: Settings) -> list[SettingsKey]:
+        """The keys with another value in the new settings."""
+        return [key for key in SETTINGS_KEYS if self.value_of(key) != new.value_of(key)]
+
+    def reloaded(self, new: Settings) -> Settings:
+        """The new settings with this process's values of all keys that take effect at the next start."""
+        kept = {key.field: self.value_of(key) for key in SETTINGS_KEYS if key.effect is Effect.AT_RESTART}
+        return replace(new, **kept)  # type: ignore[arg-type]
+
     @property
     def peer_port(self) -> int:
         """The port on which each machine of the system listens for the other machines."""
--- a/cypressbeam/proxy/gateway.py
+++ b/cypressbeam/proxy/gateway.py
@@ -5,6 +5,7 @@
 import logging
 import random
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from cypressbeam.balancing import interface as it
 from cypressbeam.balancing.balancer import Balancer
@@ -97,6 +98,26 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionLimits:
+    """How many connections of clients and to servers the descriptors allow."""
+
+    clients: int
+    servers: int
+
+    @classmethod
+    def of(cls, settings: Settings) -> ConnectionLimits:
+        """The limits by the settings."""
+        usable = settings.file_handles - SPARE_DESCRIPTORS
+        clients = max(1, int(usable * CLIENT_CONNECTION_SHARE))
+        return cls(clients, max(1, usable - clients))
+
+
+def body_budget_bytes(settings: Settings) -> int:
+    """The memory for request bodies, in bytes."""
+    return int(settings.memory_mb * BODY_MEMORY_SHARE * 1e6)
+
+
 class ResponseSizes:
     """Moving average of the response size of each request class, to price traffic between zones."""
 
@@ -117,13 +138,13 @@
     """Forwards client requests according to the current routes. A request keeps the table under which it arrived."""
 
     def __init__(self, settings: Settings, now_us: Callable[[], int] | None = None) -> None:
-        usable = settings.file_handles - SPARE_DESCRIPTORS
-        self.client_connections = max(1, int(usable * CLIENT_CONNECTION_SHARE))
+        connections = ConnectionLimits.of(settings)
+        self.client_connections = connections.clients
         super().__init__(
             GATEWAY_PROFILE,
             CONNECT_TIMEOUT_US,
             IDLE_US,
-            max(1, usable - self.client_connections),
+            connections.servers,
             MAX_RESPONSE_BYTES,
             now_us,
         )
@@ -136,7 +157,7 @@
         self.limits = Limits(
             max_body_bytes=defaults.body_max_bytes,
             body_timeout_restarts=True,
-            max_buffered_bytes=int(settings.memory_mb * BODY_MEMORY_SHARE * 1e6),
+            max_buffered_bytes=body_budget_bytes(settings),
         )
         self.hosts: dict[str, BalancerHost] = {}
         self.sizes = ResponseSizes()
@@ -167,6 +188,15 @@
 
     # -- updates -------------------------------------------------------------------------------------------
 
+    def take_settings(self, settings: Settings) -> None:
+        """Apply reloaded settings. Connections and bodies above a lowered limit stay until they end."""
+        self.settings = settings
+        connections = ConnectionLimits.of(settings)
+        self.client_connections, self.upstream.max_connections = connections.clients, connections.servers
+        self.limits.max_buffered_bytes = body_budget_bytes(settings)
+        if self.table is not None:
+            self.update_balancers()
+
     def apply_configuration(self, configuration: Configuration) -> None:
         """Replace the routing table in one step. Balancers keep what they have learned."""
         self.table = RoutingTable(configuration)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -4,29 +4,19 @@
 
 import logging
 import math
-import re
 from typing import Any
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cypressbeam.protocol.settings import REPLACE_AFTER_FRACTION, Settings, SettingsError, parse
+from cypressbeam.protocol.settings import REPLACE_AFTER_FRACTION, SettingsError, parse
 from cypressbeam.protocol.settings_keys import KEYS_BY_NAME, SETTINGS_KEYS, SettingsKey, Users, ValueKind
 
 REQUIRED = {"node": "edge-1", "ip": "10.1.0.13", "internalPorts": "7620,7635"}
 #: The keys that make a process an edge node or a core machine.
 ROLE_KEYS = {Users.EDGE: {"listeners.front": "10.1.0.13:8641"}, Users.CORE: {"stateDir": "/var/state"}}
 NUMERIC = (ValueKind.COUNT, ValueKind.NUMBER, ValueKind.FIGURE)
-#: Where `Settings` has the value of a key, if the name differs.
-FIELDS = {
-    "seedPeers": "seeds",
-    "listeners.front": "front_listener",
-    "listeners.readiness": "readiness_listener",
-    "listeners.control": "control_listener",
-    "stateDir": "state_dir",
-    "platform.address": "platform",
-}
 
 
 def file_of(values: dict[str, str], *roles: Users) -> str:
@@ -37,13 +27,6 @@
     return "".join(f"{name}={value}\n" for name, value in (lines | values).items())
 
 
-def value_of(settings: Settings, name: str) -> Any:
-    """The value of a key in the settings."""
-    last = name.rpartition(".")[2]
-    field = FIELDS.get(name, re.sub(r"(?<!^)([A-Z])", r"_\1", last).lower())
-    return getattr(settings.envelope if name.startswith("envelope.") else settings, field)
-
-
 def decimal_texts(least: float) -> st.SearchStrategy[str]:
     """Whole numbers and fractions from `least` on, as programs write them."""
     whole = st.integers(math.ceil(least), 10**9)
@@ -121,7 +104,7 @@
             file_of({}, *BOTH_ROLES), "boot.conf"
         )
         return
-    value = value_of(parse(file_of({key.name: text}, *BOTH_ROLES), "boot.conf"), key.name)
+    value: Any = parse(file_of({key.name: text}, *BOTH_ROLES), "boot.conf").value_of(key)
     if key.kind in NUMERIC:
         assert value == expected_number(key, text)
     elif key.kind is ValueKind.FLAG:
