Found a system once, whatever is killed during its first start

Cause: the first seed alone gathered the machines for the first view, in memory, and only a process started with bootstrap=true did so; a restart says false.

Change (docs/design/bootstrap.md): the first disk of a first start says that its machine takes part; the arbiter stores its view before it sends it; a later seed takes over when all earlier ones say that they take no part, after promises on disk, and completes a view that some machine has; a first view names its members with the identity of their disks, so a replaced or wiped machine founds nothing. Each seed that has the view sends it until all members have one: a member killed before it had stored it stayed out for good, and the core changed its view every 0.9 s.

Two tests follow renamed parts; the rule that a machine with a promise accepts no first view is now: none below its promise.

--- a/cypressbeam/consensus/effects.py
+++ b/cypressbeam/consensus/effects.py
@@ -36,6 +36,15 @@
     """The address of the machine that requested the promise."""
 
 
+@dataclass(frozen=True, slots=True)
+class PersistBootstrapPromise:
+    """Write a promise to disk: the machine accepts no first view of a lower epoch from then on."""
+
+    epoch: int
+    arbiter: str
+    """The address of the machine that requested the promise."""
+
+
 @dataclass(frozen=True, slots=True)
 class PersistView:
     """Write a view to disk, together with its initial entry and digests of applied writes, in one transaction."""
@@ -74,5 +83,5 @@
 #: Effects of a chain member.
 ChainEffect = PersistEntry | SendMessage | Publish
 #: Effects that write to the disk.
-DiskWrite = PersistEntry | PersistPromise | PersistView | ProbeDisk
+DiskWrite = PersistEntry | PersistPromise | PersistBootstrapPromise | PersistView | ProbeDisk
 Effect = ChainEffect | DiskWrite | SetLeadership | ResetIdentity
--- a/cypressbeam/consensus/replica.py
+++ b/cypressbeam/consensus/replica.py
@@ -29,6 +29,7 @@
     ChainEffect,
     DiskWrite,
     Effect,
+    PersistBootstrapPromise,
     PersistEntry,
     PersistView,
     ProbeDisk,
@@ -41,7 +42,7 @@
 from cypressbeam.consensus.quorum_reads import QuorumReads
 from cypressbeam.consensus.repair import Proposer
 from cypressbeam.consensus.rollback_detection import RollbackDetector
-from cypressbeam.consensus.state import ReplicaState
+from cypressbeam.consensus.state import DiskState, ReplicaState
 from cypressbeam.consensus.views import NO_VIEW, Entry, View, ip_of
 from cypressbeam.consensus.voting import Voter
 from cypressbeam.protocol import frames
@@ -120,13 +121,29 @@
         return self.tick(now_s)
 
     def bootstrap(self, view: View, now_s: float) -> list[Effect]:
-        """Accept the first view of a new group, unless this machine already has a view, is writing one, or has
-        promised an epoch."""
+        """Accept the first view of a new group, unless this machine has a view on disk, is writing one, or has promised
+        a later epoch. It may know of a later view: then it is a member that was down while others went on."""
         state = self.state
-        if state.view is not None or state.pending_view is not None or self.voter.promised:
+        has_view = state.disk_state != DiskState.EMPTY or state.pending_view is not None
+        if has_view or self.voter.promised > view.epoch:
             return []
         return self.accept_view(view, None, {}, now_s) if self.name in view.chain else []
 
+    def prepare_bootstrap(self, epoch: int, arbiter: str, now_s: float) -> list[Effect]:
+        """Promise to accept no first view of a lower epoch, unless this machine has a view or is writing one."""
+        state = self.state
+        if state.view is not None or state.pending_view is not None or self.voter.promised > epoch:
+            return []
+        self.voter.promised = epoch
+        self.disk.write_begun(now_s)
+        return [PersistBootstrapPromise(epoch, arbiter)]
+
+    def bootstrap_promise_persisted(self, epoch: int, arbiter: str) -> list[Effect]:
+        """Send a promise that is now on disk."""
+        self.write_completed()
+        self.rollback.promise_persisted(epoch)
+        return [SendMessage(arbiter, frames.BootstrapPromise(self.name, epoch))]
+
     # -- periodic work -------------------------------------------------------------------------------------
 
     def disk_works(self, now_s: float) -> bool:
--- a/cypressbeam/node/core_machine.py
+++ b/cypressbeam/node/core_machine.py
@@ -75,6 +75,8 @@
         self.executor = EffectExecutor(self, store, send, self.tasks)
         self.replication = DirectoryReplication(tree, send)
         self.leader_role = LeaderRole(settings, tree, send, lambda: self.rng, self.vouched_leader, self.replication)
+        self.bootstrap_seeds: tuple[str, ...] = ()
+        """The seeds of the system's first start, if the disk has been in use since then."""
         self.replica: Replica | None = None
         """None until the disk state is loaded, and while it is being replaced by an empty one."""
         self.membership: MembershipManager | None = None
@@ -141,12 +143,26 @@
         replica.restore_marks(loaded.durable_marks, loaded.pending_marks, loaded.reported_marks)
         self.marks_saved_s = self.loop.time()
         self.replication.directory.add(loaded.node_addresses, self.loop.time())
+        self.set_bootstrap_seeds(loaded.bootstrap_seeds)
         if loaded.view is not None:
             log.info("view %d loaded: chain %s", loaded.view.epoch, " ".join(loaded.view.chain))
         self.executor.execute(
             replica.load(loaded.view, loaded.promised, loaded.entry, loaded.applied_digests, self.loop.time())
         )
 
+    def set_bootstrap_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Record whether this machine takes part in the bootstrap, which its registrations tell."""
+        self.bootstrap_seeds = seeds
+        registration = self.tree.registration
+        takes_part = seeds and self.settings.quorum_member
+        registration.flags &= ~frames.MAY_BOOTSTRAP
+        registration.flags |= frames.MAY_BOOTSTRAP if takes_part else 0
+
+    def stored_view(self) -> View | None:
+        """Return the view on disk whose chain includes this machine."""
+        chain = self.replica.state.chain if self.replica is not None else None
+        return chain.view if chain is not None else None
+
     def reset_identity(self, reason: str) -> None:
         """Continue as a new member with an empty disk in the same process. The old state on disk is set aside."""
         replica = self.replica
@@ -158,6 +174,7 @@
         if self.tree.position.is_root:
             self.set_leadership(False)
         self.replica = None
+        self.set_bootstrap_seeds(())
         self.tree.registration.identity = ""
         self.reported_rejections = set()
         self.tasks.spawn(self.load(reset=True))
@@ -362,7 +379,7 @@
 
     def awaits_bootstrap(self, replica: Replica) -> bool:
         """Return whether this machine waits for the first view, which the bootstrapping machine sends."""
-        return replica.state.view is None and self.settings.bootstrap and not self.previous_group
+        return replica.state.view is None and bool(self.bootstrap_seeds) and not self.previous_group
 
     def watch_quorum(self, replica: Replica, now_s: float) -> None:
         """Log if a majority of the members is missing for long."""
@@ -409,15 +426,25 @@
             self.replication.directory.note_lost(link.ip, self.loop.time())
 
     def on_bootstrap_request(self, link: Link, frame: frames.BootstrapRequest) -> None:
-        """Handle a proposal of the first view. Only the first is ever accepted, and it counts once it is on disk."""
-        replica = self.replica
-        if replica is None:
-            return
-        if self.settings.bootstrap:
-            self.executor.execute(replica.bootstrap(View(frame.epoch, frame.chain, frame.chain), self.loop.time()))
-        chain = replica.state.chain
-        if chain is not None:
-            link.send(frames.BootstrapAck(replica.name, chain.view.epoch, chain.view.chain))
+        """Handle a proposal of the first view. Only the first is ever accepted, and it counts once it is on disk. The
+        view names this machine with the identity of its disk, so a machine whose disk was replaced accepts none that
+        its former disk was part of."""
+        if self.replica is not None:
+            view = View(frame.epoch, frame.chain, frame.chain)
+            self.executor.execute(self.replica.bootstrap(view, self.loop.time()))
+            self.acknowledge_bootstrap(link)
+
+    def on_bootstrap_prepare(self, link: Link, frame: frames.BootstrapPrepare) -> None:
+        """Handle the request of a seed that takes over the bootstrap."""
+        if self.replica is not None:
+            self.executor.execute(self.replica.prepare_bootstrap(frame.epoch, link.ip, self.loop.time()))
+            self.acknowledge_bootstrap(link)
+
+    def acknowledge_bootstrap(self, link: Link) -> None:
+        """Tell the arbiter of the bootstrap which view is on disk, if there is one."""
+        view = self.stored_view()
+        if self.replica is not None and view is not None:
+            link.send(frames.BootstrapAck(self.replica.name, view.epoch, view.chain))
 
     def on_early_join(self, link: Link, frame: frames.JoinRequest) -> None:
         """Store a registration at the tail until it leads in its active view, so that the node need not resend it."""
--- a/cypressbeam/node/effect_executor.py
+++ b/cypressbeam/node/effect_executor.py
@@ -10,6 +10,7 @@
 from cypressbeam.consensus.effects import (
     DiskWrite,
     Effect,
+    PersistBootstrapPromise,
     PersistEntry,
     PersistPromise,
     PersistView,
@@ -95,6 +96,9 @@
         if isinstance(effect, PersistPromise):
             await self.store.save_promise(effect.epoch)
             return replica.promise_persisted(effect.epoch, effect.proposer, self.loop.time())
+        if isinstance(effect, PersistBootstrapPromise):
+            await self.store.save_promise(effect.epoch)
+            return replica.bootstrap_promise_persisted(effect.epoch, effect.arbiter)
         if isinstance(effect, PersistView):
             await self.store.save_view(effect.view, effect.entry, effect.applied_digests)
             log.info("view %d installed: chain %s", effect.view.epoch, " ".join(effect.view.chain))
--- a/cypressbeam/node/gateway_node.py
+++ b/cypressbeam/node/gateway_node.py
@@ -11,8 +11,6 @@
 from pathlib import Path
 from typing import Any
 
-from cypressbeam.consensus.bootstrap import Bootstrap
-from cypressbeam.consensus.effects import SendMessage
 from cypressbeam.distribution.failure_detector import UdpFailureDetector
 from cypressbeam.distribution.outlier_reports import OutlierReports
 from cypressbeam.distribution.tree_node import Handlers, TreeNode
@@ -20,6 +18,7 @@
 from cypressbeam.node.control_api import ControlApi
 from cypressbeam.node.core_machine import CoreMachine
 from cypressbeam.node.state_query import StateQuery
+from cypressbeam.node.system_bootstrap import SystemBootstrap
 from cypressbeam.protocol import configuration, frames
 from cypressbeam.protocol.address import Address
 from cypressbeam.protocol.settings import SETTINGS_VARIABLE, Settings, SettingsError, load
@@ -44,7 +43,6 @@
 STOP_MARGIN_S = 0.8
 #: How long a stop waits for the disk to close. Acknowledged writes are durable regardless.
 DISK_CLOSE_TIMEOUT_S = 0.4
-BOOTSTRAP_INTERVAL_S = 0.1
 #: A node whose link needs longer to transfer the whole configuration redirects reads to the core.
 MAX_READ_TRANSFER_S = 0.1
 #: A node without a parent that has not heard from any machine that may know the root for this long rejects control
@@ -111,12 +109,14 @@
         self.gateway = self.make_gateway()
         self.core: CoreMachine | None = None
         if settings.state_dir is not None:
-            self.core = CoreMachine(settings, self.tree, self.peers.send, store or SqliteStore(settings.state_dir))
+            seeds = tuple(host for host, _ in settings.seeds) if settings.bootstrap else ()
+            store = store or SqliteStore(settings.state_dir, bootstrap_seeds=seeds)
+            self.core = CoreMachine(settings, self.tree, self.peers.send, store)
+        self.system_bootstrap = SystemBootstrap(settings, self.tree, self.core, self.peers.send)
         self.state_query = StateQuery(settings.ip, self.members, self.describe, self.peers.send)
         self.control = ControlApi(
             settings.ip, self.members, self.peers.send, self.state_query, self.faster_reader, self.is_isolated
         )
-        self.bootstrap: Bootstrap | None = None
         self.outliers = OutlierReports(self.tree.context, self.tree, self.eject_outliers)
         self.share_failures(settings.share_faults)
         self.frontends: list[Frontend] = []
@@ -144,9 +144,9 @@
         if self.core is not None:
             await self.core.start()
         if self.core is not None and self.core.replica is None:
-            self.core.on_loaded = self.begin_bootstrap
+            self.core.on_loaded = self.system_bootstrap.begin
         else:
-            self.begin_bootstrap()
+            self.system_bootstrap.begin()
         if settings.control_listener is not None:
             await self.listen(
                 Frontend(self.control, control_api.MAX_CONNECTIONS, OVERFLOW_CONNECTIONS, control_api.LIMITS),
@@ -260,28 +260,6 @@
             self.reload(os.environ)
         self.loop.call_later(SETTINGS_POLL_INTERVAL_S, self.watch_settings_file, path, modified_ns)
 
-    def begin_bootstrap(self) -> None:
-        """Start gathering machines for the first view, if this node is the first seed and knows no view."""
-        settings = self.settings
-        if settings.bootstrap and settings.seeds and settings.seeds[0][0] == settings.ip and not self.members():
-            self.bootstrap = Bootstrap(2 * settings.machine_losses + 1)
-            self.bootstrap_step()
-
-    def bootstrap_step(self) -> None:
-        """Propose the first view. Repeated until all of its members have it."""
-        bootstrap = self.bootstrap
-        if bootstrap is None:
-            return
-        if self.settings.quorum_member and self.tree.registration.identity:
-            bootstrap.add_candidate(self.tree.registration.identity, self.loop.time())
-        for message in bootstrap.tick(self.loop.time()):
-            assert isinstance(message, SendMessage)
-            self.peers.send(message.ip, message.frame)
-        if bootstrap.is_done() or self.tree.registration.assignment is not None:
-            self.bootstrap = None
-        else:
-            self.loop.call_later(BOOTSTRAP_INTERVAL_S, self.bootstrap_step)
-
     # -- state and updates ----------------------------------------------------------------------------------
 
     def members(self) -> tuple[str, ...]:
@@ -377,7 +355,8 @@
         """Return the handlers of every node, beside those of the tree. Replies are matched to pending control calls."""
         return {
             frames.JoinRequest: self.on_join,
-            frames.BootstrapAck: lambda link, frame: self.on_bootstrap_ack(frame),
+            frames.BootstrapAck: lambda link, frame: self.system_bootstrap.on_ack(frame),
+            frames.BootstrapPromise: lambda link, frame: self.system_bootstrap.on_promise(frame),
             frames.WriteResult: lambda link, frame: self.control.on_write_result(frame),
             frames.ReadResult: lambda link, frame: self.control.on_read_result(frame),
             frames.MembershipChangeStatus: lambda link, frame: self.control.on_change_status(frame),
@@ -392,6 +371,7 @@
             return {}
         return {
             frames.BootstrapRequest: core.on_bootstrap_request,
+            frames.BootstrapPrepare: core.on_bootstrap_prepare,
             frames.NodeDirectoryUpdate: core.on_directory_update,
             frames.SuspectReport: lambda link, frame: (
                 core.leader_role.on_suspect(frame.name) if self.tree.position.is_root else None
@@ -420,16 +400,9 @@
             return
         if self.core is not None:
             self.core.on_early_join(link, frame)
-        if self.bootstrap is not None and frame.identity and not frame.has_assignment:
-            self.bootstrap.add_candidate(frame.identity, self.loop.time())
+        self.system_bootstrap.on_registration(frame)
         link.send(self.tree.fence.redirect())
 
-    def on_bootstrap_ack(self, frame: frames.BootstrapAck) -> None:
-        """Record that a machine has the first view on disk."""
-        bootstrap = self.bootstrap
-        if bootstrap is not None and bootstrap.view is not None and frame.chain == bootstrap.view.chain:
-            bootstrap.acknowledged.add(frame.name)
-
 
 def ignore_failure(server: str) -> None:
     """Do nothing: failures are not reported."""
--- a/cypressbeam/protocol/frames/__init__.py
+++ b/cypressbeam/protocol/frames/__init__.py
@@ -33,6 +33,8 @@
 from cypressbeam.protocol.frames.consensus import (
     Accept,
     BootstrapAck,
+    BootstrapPrepare,
+    BootstrapPromise,
     BootstrapRequest,
     Prepare,
     Promise,
@@ -96,6 +98,8 @@
     "Accept",
     "BlobNotFound",
     "BootstrapAck",
+    "BootstrapPrepare",
+    "BootstrapPromise",
     "BootstrapRequest",
     "CatchUp",
     "CatchUpAck",
--- a/cypressbeam/protocol/frames/consensus.py
+++ b/cypressbeam/protocol/frames/consensus.py
@@ -14,7 +14,7 @@
 
 @dataclass(frozen=True, slots=True)
 class BootstrapRequest(Frame):
-    """The first seed proposes the first view to its members."""
+    """The arbiter of the bootstrap proposes the first view to its members."""
 
     CODE = 16
     FIELDS = "ql"
@@ -27,6 +27,33 @@
         check_view(self, self.epoch, self.chain, self.chain)
 
 
+@dataclass(frozen=True, slots=True)
+class BootstrapPrepare(Frame):
+    """A seed that takes over the bootstrap asks a machine to accept no view of an earlier seed. The reply is
+    `BootstrapPromise`, or `BootstrapAck` from a machine that has a view."""
+
+    CODE = 54
+    FIELDS = "e"
+    epoch: int
+    """The epoch of the view that the sender may propose."""
+
+
+@dataclass(frozen=True, slots=True)
+class BootstrapPromise(Frame):
+    """The promise that `BootstrapPrepare` asks for; it is on disk."""
+
+    CODE = 55
+    FIELDS = "se"
+    name: str
+    """The name of the machine."""
+    epoch: int
+
+    def check(self) -> None:
+        """Checks that the sender is a valid member."""
+        check_member(self, self.name)
+        check_epochs(self, self.epoch)
+
+
 @dataclass(frozen=True, slots=True)
 class BootstrapAck(Frame):
     """The reply to `BootstrapRequest`: the member has a view on disk, either the proposed one or an earlier one."""
--- a/cypressbeam/protocol/frames/registry.py
+++ b/cypressbeam/protocol/frames/registry.py
@@ -15,6 +15,8 @@
 from cypressbeam.protocol.frames.consensus import (
     Accept,
     BootstrapAck,
+    BootstrapPrepare,
+    BootstrapPromise,
     BootstrapRequest,
     Prepare,
     Promise,
@@ -87,6 +89,8 @@
         RollbackNotice,
         NodeDirectoryUpdate,
         PlatformStatus,
+        BootstrapPrepare,
+        BootstrapPromise,
     )
 }
 
--- a/cypressbeam/storage/store.py
+++ b/cypressbeam/storage/store.py
@@ -72,6 +72,8 @@
     """The highest marks that other members have reported, by name."""
     node_addresses: tuple[str, ...] = ()
     """The directory of node addresses (docs/design/node-directory.md)."""
+    bootstrap_seeds: tuple[str, ...] = ()
+    """Addresses of the seeds of the system's first start, if this disk has been in use since then; otherwise empty."""
 
 
 class Storage(Protocol):
@@ -120,12 +122,17 @@
     """The database file in a folder. Calls block on the disk, so they run on the store's own thread. It is a daemon
     thread, so that a process can exit while the disk hangs."""
 
-    def __init__(self, folder: Path, open_connection: Callable[[Path], Any] = connect) -> None:
+    def __init__(
+        self, folder: Path, open_connection: Callable[[Path], Any] = connect, bootstrap_seeds: tuple[str, ...] = ()
+    ) -> None:
         """
         :param folder: the folder of the database.
+        :param bootstrap_seeds: the seeds, if the whole system starts for the first time. They are stored in a database
+            that this object creates first, and in no later one.
         :param open_connection: opens the database; tests pass one that records file operations.
         """
         self.path = folder / FILE_NAME
+        self.bootstrap_seeds = bootstrap_seeds
         self.open_connection = open_connection
         self.work: queue.SimpleQueue[Callable[[], None] | None] = queue.SimpleQueue()
         self.thread = threading.Thread(target=self._work, name="store", daemon=True)
@@ -202,6 +209,7 @@
         except BaseException:
             database.close()
             raise
+        self.bootstrap_seeds = ()
         return database
 
     def _prepare(self, database: Any) -> None:
@@ -225,10 +233,15 @@
                 " base integer not null, digest blob not null, body blob not null);"
                 "create table taken (revision integer primary key, digest blob not null);"
                 f"insert into meta values ('identity', '{secrets.token_hex(6)}'), ('promised', 0),"
-                f" ('incarnation', 1), ('draw', {secrets.randbits(INCARNATION_ID_BITS)});"
+                f" ('incarnation', 1), ('draw', {secrets.randbits(INCARNATION_ID_BITS)}){self._bootstrap_row()};"
                 f"pragma user_version={FORMAT_VERSION}; commit;"
             )
 
+    def _bootstrap_row(self) -> str:
+        """The row of the first seeds as SQL, if there are any. Addresses have no quotes."""
+        seeds = ",".join(self.bootstrap_seeds).replace("'", "")
+        return f", ('bootstrap_seeds', '{seeds}')" if seeds else ""
+
     # -- unreadable files -----------------------------------------------------------------------------------
 
     def _aside_paths(self) -> list[Path]:
@@ -246,6 +259,7 @@
         """Rename the database to the first unused name, or the last one. The database is moved and synced before its
         companions: without its log it would be a valid but older state, while a log without a database is none."""
         self._close_database()
+        self.bootstrap_seeds = ()
         if self.path.exists():
             paths = self._aside_paths()
             aside = next((path for path in paths if not path.exists()), paths[-1])
@@ -444,5 +458,11 @@
         durable_marks,
         pending_marks,
         unpack_marks(meta.get("marks", "")),
-        tuple(str(meta["nodes"]).split(",")) if meta.get("nodes") else (),
+        split_addresses(meta.get("nodes")),
+        split_addresses(meta.get("bootstrap_seeds")),
     )
+
+
+def split_addresses(text: object) -> tuple[str, ...]:
+    """A stored list of addresses."""
+    return tuple(str(text).split(",")) if text else ()
--- a/lab/membership.py
+++ b/lab/membership.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
 import random
 import statistics
 from collections.abc import Callable, Coroutine, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -79,6 +80,7 @@
         self.machines: list[tuple[Host, Settings]] = []
         self.nodes: dict[str, GatewayNode] = {}
         self.disks: dict[str, Disk] = {}
+        self.disk_numbers = itertools.count()
         self.revision = 0
         self.late: list[tuple[Host, Settings]] = []
         for number in range(cores):
@@ -134,13 +136,22 @@
         await self.until(lambda: self.root is not None and len(self.depths()) == len(self.edges) > 0)
 
     async def life(self, host: Host, settings: Settings) -> None:
-        disk = self.disks.setdefault(settings.node, Disk(f"{len(self.disks):012x}")) if settings.state_dir else None
+        disk = self.disk_of(settings) if settings.state_dir else None
         node = self.nodes[settings.node] = self.make_node(host, settings, disk)
         node.tree.context.rng = random.Random(f"{self.seed} {settings.node} {host.life}")
         if node.core is not None:
             node.core.rng = random.Random(f"{self.seed} core {settings.node} {host.life}")
         await node.start()
 
+    def disk_of(self, settings: Settings) -> Disk:
+        """The disk of a machine; a new one if it has none. The first process that uses it may write the seeds to it."""
+        if settings.node not in self.disks:
+            self.disks[settings.node] = Disk(f"{next(self.disk_numbers):012x}")
+        disk = self.disks[settings.node]
+        if settings.bootstrap and not disk.starts:
+            disk.kept = replace(disk.kept, bootstrap_seeds=tuple(host for host, _ in settings.seeds))
+        return disk
+
     def make_node(self, host: Host, settings: Settings, disk: Disk | None) -> GatewayNode:
         return SimulatedNode(settings, disk)
 
--- a/lab/mutation.py
+++ b/lab/mutation.py
@@ -22,12 +22,21 @@
 import click
 
 from lab.rules import Rule
+from lab.rules_bootstrap import BOOTSTRAP_RULES
 from lab.rules_core import CORE_RULES, DISK_RULES
 from lab.rules_fencing import FENCING_RULES, MEMBERS_RULES
 from lab.rules_orders import ORDERS_RULES
 from lab.rules_replacement import REPLACEMENT_RULES
 
-RULES = (*FENCING_RULES, *MEMBERS_RULES, *REPLACEMENT_RULES, *ORDERS_RULES, *CORE_RULES, *DISK_RULES)
+RULES = (
+    *FENCING_RULES,
+    *MEMBERS_RULES,
+    *REPLACEMENT_RULES,
+    *ORDERS_RULES,
+    *CORE_RULES,
+    *DISK_RULES,
+    *BOOTSTRAP_RULES,
+)
 ROOT = Path(__file__).resolve().parent.parent
 #: What the tests need of a checkout.
 COPIED = ("cypressbeam", "lab", "tests", "docs", "deploy", "pyproject.toml", "README.md")
--- a/lab/rule_files.py
+++ b/lab/rule_files.py
@@ -1,5 +1,6 @@
 """Paths of the source files that the mutation rules refer to."""
 
+BOOTSTRAP = "cypressbeam/consensus/bootstrap.py"
 CHAIN = "cypressbeam/consensus/chain.py"
 CODEC = "cypressbeam/protocol/frames/codec.py"
 CONFIGURATION = "cypressbeam/protocol/configuration.py"
--- a/lab/rules_core.py
+++ b/lab/rules_core.py
@@ -248,7 +248,7 @@
     state_rule(
         "the bootstrap view is accepted only by a machine without a view",
         CONSENSUS_REPLICA,
-        "if state.view is not None or state.pending_view is not None or self.voter.promised:",
+        "if has_view or self.voter.promised > view.epoch:",
         "if state.pending_view is not None:",
     ),
     state_rule(
--- a/tests/test_core_rules.py
+++ b/tests/test_core_rules.py
@@ -76,8 +76,7 @@
 def test_only_a_machine_without_a_view_accepts_the_bootstrap_view() -> None:
     replica = Replica("a/0", 2, invariants.revision, invariants.digest, lambda: 0.5)
     replica.load(None, 256, None, {}, 0.0)
-    assert replica.bootstrap(VIEW, 0.0) == []
-    replica.voter.promised = 0
+    assert replica.bootstrap(replace(VIEW, epoch=255), 0.0) == []  # below its promise
     assert replica.bootstrap(replace(VIEW, chain=GROUP[1:]), 0.0) == []
     assert replica.bootstrap(VIEW, 0.0) and replica.bootstrap(VIEW, 0.0) == []
     assert idle_world().replicas["a"].bootstrap(replace(VIEW, epoch=512), 1.0) == []
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -36,7 +36,13 @@
     frames.StatusQuery,
 }
 #: Other messages that only a core machine handles.
-CORE_MACHINE = {frames.BootstrapRequest, frames.NodeDirectoryUpdate, frames.SuspectReport, frames.LeaveNotice}
+CORE_MACHINE = {
+    frames.BootstrapRequest,
+    frames.BootstrapPrepare,
+    frames.NodeDirectoryUpdate,
+    frames.SuspectReport,
+    frames.LeaveNotice,
+}
 
 
 def test_each_message_has_exactly_one_handler(tmp_path: Path) -> None:
--- a/tests/test_fencing_rules.py
+++ b/tests/test_fencing_rules.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any, cast
+from unittest.mock import Mock
 
 import pytest
 
@@ -102,7 +103,10 @@
             lambda harness: harness.tree.on_leader_redirect(harness.link(OTHER_IP), frames.LeaderRedirect("", EPOCH_3)),
             lambda harness: harness.child(EPOCH_3),
             lambda harness: GatewayNode.on_join(
-                cast(Any, SimpleNamespace(tree=harness.tree, core=None, bootstrap=None)),
+                cast(
+                    Any,
+                    SimpleNamespace(tree=harness.tree, core=None, system_bootstrap=Mock()),
+                ),
                 harness.link(OTHER_IP),
                 frames.JoinRequest("x", OTHER_IP, "a", 0, 0, "", epoch=EPOCH_3),
             ),
--- a/tests/test_identifiers.py
+++ b/tests/test_identifiers.py
@@ -71,7 +71,7 @@
         "DEAD_S",
         "PULSE_S",
         "ROOT_ALONE_S",
-        "Founding",
+        "BootstrapRunner",
         "Founded",
         "Sparing",
         "RingRoster",
