Build anew for another interpreter or kind of machine

What was seen: a target folder that was built on x86-64 was taken on arm64, and each import failed. Cause: target/built was compared with the requirements alone. Change: it names the interpreter's version and the kind of machine as well.

The test of the build counts installations in place of interpreter starts, since the line asks for the version now.

--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -18,12 +18,21 @@
 #: Commands built into the shell.
 BUILTINS = {"[", "test", "exec", "cd", ":"}
 #: The Debian packages that provide commands, and Python modules started with `-m`.
-COMMAND_PACKAGES = {"python3": "python3", "cat": "coreutils", "cp": "coreutils", "rm": "coreutils", "cmp": "diffutils"}
+COMMAND_PACKAGES = {
+    "python3": "python3",
+    "cat": "coreutils",
+    "cp": "coreutils",
+    "rm": "coreutils",
+    "uname": "coreutils",
+    "cmp": "diffutils",
+}
 MODULE_PACKAGES = {"pip": "python3-pip", "venv": "python3-venv"}
 #: Packages are fetched over HTTPS.
 FETCH_PACKAGE = "ca-certificates"
-#: A fake interpreter that records its calls and, if the folder contains a file `cut`, fails half-way.
+#: A fake interpreter that tells the version in the file `version`, records its other calls and, if the folder contains
+#: a file `cut`, fails half-way.
 INTERPRETER = """#!/bin/sh
+[ "$1" = -V ] && exec cat version
 echo "$*" >> calls
 mkdir -p target/deps
 : > target/deps/module.py
@@ -46,7 +55,8 @@
             found.append([])
         else:
             found[-1].append(word)
-    return [words for words in found if words] + [words for part in substituted for words in commands(part)]
+    simple = [words for words in found if words and words[0] != ">"]  # without redirections of a subshell
+    return simple + [words for part in substituted for words in commands(part)]
 
 
 def packages_needed(line: str) -> set[str]:
@@ -55,7 +65,7 @@
     for words in commands(line):
         if words[0] not in BUILTINS and not words[0].startswith(".venv/bin/"):
             needed.add(COMMAND_PACKAGES[words[0]])
-        if words[1:2] == ["-m"]:
+        if words[0].rpartition("/")[2].startswith("python") and words[1:2] == ["-m"]:
             needed.add(MODULE_PACKAGES[words[2]])
         if "install" in words:
             needed.add(FETCH_PACKAGE)
@@ -84,6 +94,7 @@
 def create_checkout(folder: Path, name: str) -> Path:
     """Create a checkout with the requirements, and a folder `bin` with only the commands of the listed packages."""
     (folder / "bin").mkdir()
+    (folder / "version").write_text("Python 3.11.6\n")
     shutil.copy(ROOT / "requirements.txt", folder)
     packages = read_deploy_file(name)["packages"]
     for command, package in COMMAND_PACKAGES.items():
@@ -96,7 +107,7 @@
 
 
 def run_build(folder: Path) -> tuple[int, int]:
-    """Run the build and return its exit code and the total number of interpreter starts."""
+    """Run the build and return its exit code and the total number of installations."""
     process = subprocess.run(
         ["/bin/sh", "-c", read_deploy_file("system.toml")["build"]],
         cwd=folder,
@@ -118,7 +129,24 @@
     assert run_build(folder) == (0, 2)
     assert not (folder / "target" / "deps" / "stale.py").exists()
     assert run_build(folder) == (0, 2)
-    assert {path.name for path in folder.iterdir()} == {"bin", "calls", "requirements.txt", "target"}
+    assert {path.name for path in folder.iterdir()} == {"bin", "calls", "requirements.txt", "target", "version"}
+
+
+@pytest.mark.parametrize("change", ["interpreter", "machine"])
+def test_the_system_is_rebuilt_for_another_interpreter_or_kind_of_machine(tmp_path: Path, change: str) -> None:
+    """Guards against a folder built on x86-64 that is taken over on arm64, where no module can be imported."""
+    folder = create_checkout(tmp_path, "system.toml")
+    assert run_build(folder) == (0, 1)
+    if change == "interpreter":
+        (folder / "version").write_text("Python 3.12.1\n")
+    else:
+        (folder / "bin" / "uname").unlink()
+        (folder / "bin" / "uname").write_text("#!/bin/sh\necho another\n")
+        (folder / "bin" / "uname").chmod(0o755)
+    (folder / "target" / "deps" / "stale.py").touch()
+    assert run_build(folder) == (0, 2)
+    assert not (folder / "target" / "deps" / "stale.py").exists()
+    assert run_build(folder) == (0, 2)
 
 
 def test_an_interrupted_build_fails_and_is_repeated(tmp_path: Path) -> None:
