Bound the memory of all response bodies together

Cause: each response is held whole until its client has it, and nothing counted them.

Nothing is forwarded earlier than before, no attempt ends by waiting, and no request that ran is refused.

--- a/cypressbeam/proxy/frontend.py
+++ b/cypressbeam/proxy/frontend.py
@@ -18,6 +18,7 @@
     count_unread_bytes,
     has_unread_input,
 )
+from cypressbeam.proxy.response_budget import ResponseReservation
 
 log = logging.getLogger(__name__)
 
@@ -93,6 +94,8 @@
         self.partial: ConnectionTimes = {}
         self.idle: ConnectionTimes = {}
         self.closing: ConnectionTimes = {}
+        self.sending: set[ClientConnection] = set()
+        """Connections with large responses that may not be written yet."""
         self.stopping = False
         self.server: asyncio.Server | None = None
 
@@ -171,6 +174,8 @@
         self.loop.call_later(SWEEP_INTERVAL_S, self.sweep)
         now_s = self.loop.time()
         limits = self.limits
+        for connection in list(self.sending):
+            connection.release_sent()
         for group, timeout_s in ((self.silent, limits.head_timeout_s), (self.idle, limits.idle_timeout_s)):
             for connection, since_s in list(group.items()):
                 if now_s - since_s < timeout_s:
@@ -203,6 +208,7 @@
         self.admitted = True
         self.has_sent_request = False
         self.write_paused = False  # the client does not read the response
+        self.unsent: list[ResponseReservation] = []  # the memory of responses that are not written yet
         self.unread_bytes = 0  # of responses, when they were last looked at
         self.last_read_s = 0.0  # when `unread_bytes` last changed
         self.group: ConnectionTimes | None = None  # the frontend's map that contains this connection
@@ -226,6 +232,7 @@
         self.frontend.connections.discard(self)
         self.move_to(None)
         self.current = None
+        self.release_unsent()
         self.reader.messages.clear()
         self.reader.close()
         if self.request is not None:
@@ -342,6 +349,20 @@
             self.unread_bytes, self.last_read_s = unread_bytes, now_s
         return now_s - self.last_read_s < self.frontend.limits.idle_timeout_s
 
+    def release_sent(self) -> None:
+        """Return the memory of responses once they are written."""
+        if self.transport.get_write_buffer_size() <= MAX_COPIED_BODY_BYTES:
+            self.release_unsent()
+
+    def release_unsent(self) -> None:
+        """Return the memory of all responses."""
+        if not self.unsent:
+            return
+        self.frontend.sending.discard(self)
+        unsent, self.unsent = self.unsent, []
+        for reservation in unsent:
+            reservation.release()
+
     def pause_writing(self) -> None:
         # Otherwise a client that sends requests without reading could make the node buffer unlimited responses.
         self.write_paused = True
@@ -349,6 +370,7 @@
 
     def resume_writing(self) -> None:
         self.write_paused = False
+        self.release_unsent()
         if not self.transport.is_closing():
             self.transport.resume_reading()
             if self.current is None and not self.closing:
@@ -363,6 +385,9 @@
         lines.append(b"Connection: close\r\n\r\n" if close else b"\r\n")
         if len(response.body) > MAX_COPIED_BODY_BYTES:
             self.transport.writelines([b"".join(lines), response.body])
+            if response.reservation is not None:
+                self.unsent.append(response.reservation)
+                self.frontend.sending.add(self)
             return
         lines.append(response.body)
         self.transport.write(b"".join(lines))
--- a/cypressbeam/proxy/gateway.py
+++ b/cypressbeam/proxy/gateway.py
@@ -31,7 +31,8 @@
 #: File descriptors reserved for everything except client and server connections.
 SPARE_DESCRIPTORS = 400
 OVERFLOW_CONNECTIONS = 12
-#: Share of the memory that request bodies may occupy. A body exists twice while it is being read.
+#: Share of the memory that request bodies may occupy, and that of response bodies. A request body exists twice while it
+#: is being read.
 BODY_MEMORY_SHARE = 0.3
 #: Shares of the fleet's retry ratio and retry slack that the nodes use. The rest is headroom, because requests are
 #: counted a little later than retry tokens are spent, and the number of nodes is known with a delay.
@@ -114,7 +115,7 @@
 
 
 def body_budget_bytes(settings: Settings) -> int:
-    """The memory for request bodies, in bytes."""
+    """The memory for request bodies, and the same again for response bodies, in bytes."""
     return int(settings.memory_mb * BODY_MEMORY_SHARE * 1e6)
 
 
@@ -145,8 +146,9 @@
             CONNECT_TIMEOUT_US,
             IDLE_US,
             connections.servers,
-            MAX_RESPONSE_BYTES,
+            min(MAX_RESPONSE_BYTES, body_budget_bytes(settings)),
             now_us,
+            body_budget_bytes(settings),
         )
         self.settings = settings
         self.rng = random.Random()
@@ -193,7 +195,8 @@
         self.settings = settings
         connections = ConnectionLimits.of(settings)
         self.client_connections, self.upstream.max_connections = connections.clients, connections.servers
-        self.limits.max_buffered_bytes = body_budget_bytes(settings)
+        self.limits.max_buffered_bytes = self.upstream.response_budget.max_bytes = body_budget_bytes(settings)
+        self.upstream.max_response_bytes = min(MAX_RESPONSE_BYTES, body_budget_bytes(settings))
         if self.table is not None:
             self.update_balancers()
 
--- a/cypressbeam/proxy/http_responses.py
+++ b/cypressbeam/proxy/http_responses.py
@@ -14,6 +14,7 @@
 import httptools
 
 from cypressbeam.errors import CypressbeamError
+from cypressbeam.proxy.response_budget import GROWTH_BYTES, SMALL_BODY_BYTES, ResponseReservation
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -101,6 +102,8 @@
     body: bytes = b""
     length: int | None = None
     """For HEAD: the length of the omitted body."""
+    reservation: ResponseReservation | None = None
+    """The memory of the body, if it is counted."""
 
     def header(self, name: bytes) -> bytes | None:
         """The first value of a header, by its lower-case name."""
@@ -164,6 +167,16 @@
         self.trailing_bytes = b""
         """Bytes that arrived together with the end of a response, after it."""
 
+    def needed_bytes(self) -> int:
+        """The memory that the body needs in all, as far as is known; for a body without a length, more than it has."""
+        if not self.headers_done or self.is_for_other_request:
+            return 0
+        if self.remaining_body_bytes is not None:
+            return len(self.body) + self.remaining_body_bytes
+        if len(self.body) <= SMALL_BODY_BYTES:
+            return len(self.body)
+        return (len(self.body) // GROWTH_BYTES + 1) * GROWTH_BYTES
+
     def take_answer(self) -> Response:
         """Hand over the complete response. Nothing of it is kept here: the next one may be long in coming."""
         answer = self.answer
--- a/cypressbeam/proxy/proxy_core.py
+++ b/cypressbeam/proxy/proxy_core.py
@@ -20,7 +20,7 @@
 from cypressbeam.proxy.http_responses import MAX_COPIED_BODY_BYTES, MAX_RESPONSE_BYTES, Response
 from cypressbeam.proxy.protocol_profile import ProtocolProfile
 from cypressbeam.proxy.response_validation import RequestContext
-from cypressbeam.proxy.upstream import WHOLE_BODY, Attempt, Upstream
+from cypressbeam.proxy.upstream import UNLIMITED_BYTES, WHOLE_BODY, Attempt, Upstream
 
 log = logging.getLogger(__name__)
 
@@ -114,6 +114,7 @@
         server_connections: int,
         max_response_bytes: int = MAX_RESPONSE_BYTES,
         now_us: Callable[[], int] | None = None,
+        response_budget_bytes: int = UNLIMITED_BYTES,
     ) -> None:
         """`now_us` replaces the system clock, for simulations."""
         self.loop: asyncio.AbstractEventLoop = asyncio.get_running_loop()
@@ -128,6 +129,7 @@
             self.attempt_ended,
             profile,
             max_response_bytes,
+            response_budget_bytes,
         )
         self.next_lag_check_s = 0.0
         self.lag_last_logged_s = 0.0
@@ -243,7 +245,7 @@
             for name, value in response.headers
             if name.lower() not in self.profile.dropped_response_headers
         ]
-        return Response(response.status, headers, response.body, response.length)
+        return Response(response.status, headers, response.body, response.length, response.reservation)
 
     # -- actions -----------------------------------------------------------------------------------------
 
--- a/cypressbeam/proxy/upstream.py
+++ b/cypressbeam/proxy/upstream.py
@@ -26,6 +26,7 @@
     parse_keep_alive_timeout,
 )
 from cypressbeam.proxy.protocol_profile import STANDALONE_PROFILE, ProtocolProfile
+from cypressbeam.proxy.response_budget import ResponseBudget, ResponseReservation
 from cypressbeam.proxy.response_validation import RequestContext, begun_at_the_end
 
 log = logging.getLogger(__name__)
@@ -37,6 +38,8 @@
 ADVERTISED_IDLE_SHARE = 0.8
 #: How long to wait for trailing bytes after a body that ends with a possible prefix of another response.
 TRAILING_BYTES_WAIT_S = 0.03
+#: The memory for response bodies where no limit is given.
+UNLIMITED_BYTES = 1 << 40
 #: Turns of the event loop after the timeout of a connect in which a connection that is up is still noticed.
 TURNS_AFTER_TIMEOUT = 4
 #: How many recent request IDs a connection remembers. A request is never sent twice on one connection, because a
@@ -120,6 +123,8 @@
         self.recent_requests: deque[str] = deque(maxlen=REMEMBERED)
         self.trailing_timer: asyncio.TimerHandle | None = None
         """Runs while a complete response waits for possible trailing bytes."""
+        self.reservation = self.new_reservation()
+        """The memory of the response that is being read."""
         self.idle_timeout_s = upstream.idle_timeout_s
         profile = upstream.profile
         self.reader = ResponseReader(
@@ -142,6 +147,19 @@
     def resume_writing(self) -> None:
         self.write_paused = False
 
+    def reserve_memory(self, attempt: Attempt) -> None:
+        """Reserve memory for the response that is being read, or stop reading until there is some. The server has
+        answered in time then: only the deadline of the request ends the attempt."""
+        if not self.reservation.is_waiting and not self.reservation.reserve(self.reader.needed_bytes()):
+            self.transport.pause_reading()
+            if attempt.timer is not None:
+                attempt.timer.cancel()
+
+    def resume_reading(self) -> None:
+        """Read on: memory for the response has become available."""
+        if not self.closed:
+            self.transport.resume_reading()
+
     def quiet(self) -> bool:
         """Whether neither bytes nor the server's close have arrived since the last response. Unread bytes would be
         taken for the response to the next request."""
@@ -180,6 +198,7 @@
         if self.reader.dropped_responses > dropped_before:
             log.warning("server %s: discarded a response to another request", self.server)
         if not self.reader.complete:
+            self.reserve_memory(attempt)
             return
         if (
             self.reader.remaining_body_bytes is not None
@@ -193,6 +212,8 @@
     def complete_response(self) -> None:
         """Finish the attempt: the response is complete, and the wait for trailing bytes is over."""
         response = self.reader.take_answer()
+        response.reservation, self.reservation = self.reservation, self.new_reservation()
+        response.reservation.count(len(response.body))
         advertised_s = parse_keep_alive_timeout(response)
         if advertised_s is not None:
             self.idle_timeout_s = advertised_s * ADVERTISED_IDLE_SHARE
@@ -231,9 +252,14 @@
                 return ReplyKind.INVALID
         return reply
 
+    def new_reservation(self) -> ResponseReservation:
+        """A reservation for the next response."""
+        return ResponseReservation(self.upstream.response_budget, self.resume_reading)
+
     def close(self) -> None:
         if not self.closed:
             self.closed = True
+            self.reservation.release()
             if self.established:
                 # Not close(), which would first write the rest of the request although the attempt has ended.
                 self.transport.abort()
@@ -248,6 +274,8 @@
         self.closed = True
         self.reader.close()
         self.upstream.drop(self)
+        if not is_whole:
+            self.reservation.release()
         if self.attempt is None:
             return
         if is_whole:
@@ -268,8 +296,10 @@
         on_end: Callable[[Attempt, AttemptOutcome, Response | None, Report | None], None],
         profile: ProtocolProfile = STANDALONE_PROFILE,
         max_response_bytes: int = MAX_RESPONSE_BYTES,
+        response_budget_bytes: int = UNLIMITED_BYTES,
     ) -> None:
         self.profile = profile
+        self.response_budget = ResponseBudget(response_budget_bytes)
         self.max_response_bytes = max_response_bytes
         self.loop = asyncio.get_running_loop()
         self.connect_timeout_s = connect_timeout_us / 1e6
