Add a soak by rounds: first starts, settings, kills of whole groups, large responses

`lab outages` draws from a seed: kills from the first tenth of a second of the first start on; settings files with other seeds and figures, with and without SIGHUP; a platform that moves; all machines, all edge nodes or all core machines killed with the files as they are; responses of 0 bytes to 30 MiB with quick and slow readers. After each round a configuration must be taken and a request on its new route be served by each edge node within recoveryS, no process may have ended, and memory stays under memoryMb.

The stand-in with large responses is shared with tests/test_response_memory.py.

--- a/lab/commands/measurements.py
+++ b/lab/commands/measurements.py
@@ -42,6 +42,29 @@
     sys.exit(1 if broken else 0)
 
 
+@click.command()
+@click.option("--seed", default=1, show_default=True, help="The first seed.")
+@click.option("--seeds", default=1, show_default=True, help="So many soaks, one after another.")
+@click.option("--rounds", default=4, show_default=True, help="Rounds after the first start.")
+@click.option("--edges", default=3, show_default=True, help="Edge nodes, beside three core machines.")
+def outages(seed: int, seeds: int, rounds: int, edges: int) -> None:
+    """Real processes through kills at the first start and rounds of changed settings, kills of whole groups and large
+    responses; after each all must work again. Exit code 1 if something did not."""
+    import uvloop
+
+    from lab.soak.outages import OutageSoak
+
+    async def play(one: int) -> str:
+        report = await OutageSoak(one, rounds, edges).run()
+        findings.extend(report.findings)
+        return report.text()
+
+    findings: list[str] = []
+    for one in range(seed, seed + seeds):
+        click.echo(uvloop.run(play(one)))
+    sys.exit(1 if findings else 0)
+
+
 @click.command()
 @click.option("--seeds", default=3, show_default=True, help="Histories of each kind.")
 def repair(seeds: int) -> None:
--- a/lab/commands/program.py
+++ b/lab/commands/program.py
@@ -18,6 +18,7 @@
     measurements.fleet_membership,
     measurements.repair,
     measurements.soak,
+    measurements.outages,
     measurements.disk,
     measurements.news,
     measurements.fetches,
--- a/lab/system.py
+++ b/lab/system.py
@@ -32,6 +32,10 @@
     core: bool
     folder: Path
     process: asyncio.subprocess.Process | None = None
+    seeds: str = ""
+    """The seeds in its settings file; by default those of the first start."""
+    changes: dict[str, str] = field(default_factory=dict)
+    """Lines of its settings file that differ from those of the others."""
 
     @property
     def front(self) -> Address:
@@ -93,11 +97,18 @@
     def fronts(self) -> list[Machine]:
         return [machine for machine in self.machines if not machine.core]
 
-    async def start(self, machine: Machine, bootstrap: bool = False) -> None:
-        seeds = ",".join(f"{other.ip}:{CONTROL}" for other in self.machines[:3])
+    def write_settings(self, machine: Machine, bootstrap: bool = False) -> Path:
+        """Write a machine's settings file as one replacement; returns its path."""
+        seeds = machine.seeds or ",".join(f"{other.ip}:{CONTROL}" for other in self.machines[:3])
         (machine.folder / "state").mkdir(parents=True, exist_ok=True)
-        boot = machine.folder / "boot.conf"
-        boot.write_text(machine.settings(seeds, self.platform, bootstrap, self.extra), encoding="utf-8")
+        boot, new = machine.folder / "boot.conf", machine.folder / "boot.conf.part"
+        extra = {**self.extra, **machine.changes}
+        new.write_text(machine.settings(seeds, self.platform, bootstrap, extra), encoding="utf-8")
+        new.replace(boot)
+        return boot
+
+    async def start(self, machine: Machine, bootstrap: bool = False) -> None:
+        boot = self.write_settings(machine, bootstrap)
         with (machine.folder / "log").open("ab") as log:
             machine.process = await asyncio.create_subprocess_exec(
                 sys.executable,
--- a/tests/test_response_memory.py
+++ b/tests/test_response_memory.py
@@ -5,18 +5,16 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable
 from typing import Any
 
 import cbor2
 import pytest
 
-from cypressbeam.proxy.frontend import ClientConnection
-from cypressbeam.proxy.http_requests import RequestMessage
 from cypressbeam.proxy.response_budget import SMALL_BODY_BYTES, ResponseBudget, ResponseReservation
 from lab.local_cluster import HOST, demo_configuration, push_until_taken
-from lab.standins import Platform, Server, header, named
-from lab.system import Machine, System
+from lab.soak.documents import DocumentServer, read_message, read_response
+from lab.standins import Platform
+from lab.system import System
 from tests.loopback import run
 from tests.test_memory import memory_mb
 
@@ -97,47 +95,6 @@
     assert not granted.budget.reserved_bytes and not granted.budget.waiting
 
 
-class DocumentServer(Server):
-    """Answers reads with large bodies, with a length or in chunks."""
-
-    chunked = False
-
-    def answer(self, message: RequestMessage, connection: ClientConnection, ill: str) -> None:
-        if message.method != b"GET":
-            super().answer(message, connection, ill)
-            return
-        lines = [b"%s: %s\r\n" % line for line in named(message)]
-        seal = b"Server-Seal: %s.%s\r\n" % (self.ident.encode(), header(message, b"attempt-id"))
-        framing = b"Transfer-Encoding: chunked\r\n" if self.chunked else b"Content-Length: %d\r\n" % BODY_BYTES
-        body = bytes(BODY_BYTES)
-        if self.chunked:
-            body = b"%x\r\n%s\r\n0\r\n\r\n" % (BODY_BYTES, body)
-        connection.transport.write(b"HTTP/1.1 200 OK\r\n" + b"".join(lines) + seal + framing + b"\r\n" + body)
-        connection.current = connection.request = None
-        connection.move_to(connection.frontend.idle, self.loop.time())
-
-
-async def call(machine: Machine, message: bytes, take: Callable[[int], float]) -> tuple[str, int]:
-    """Send a request and read its response; `take` gives the pause after so many bytes. Returns status and size."""
-    reader, writer = await asyncio.open_connection(*machine.front)
-    writer.write(message)
-    head = await reader.readuntil(b"\r\n\r\n")
-    size = 0
-    length = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0])
-    while size < length and (data := await reader.read(256 * KB)):
-        size += len(data)
-        if pause_s := take(size):
-            await asyncio.sleep(pause_s)
-            if pause_s < 0:
-                break
-    writer.close()
-    return head.split()[1].decode(), size
-
-
-def read_message(name: str) -> bytes:
-    return f"GET /find/{name} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {name}\r\nTime-Left-Ms: 30000\r\n\r\n".encode()
-
-
 def book_message(name: str) -> bytes:
     head = f"POST /book/{name} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {name}\r\nTime-Left-Ms: 6000\r\n"
     return f"{head}Content-Length: 4\r\n\r\nseat".encode()
@@ -161,12 +118,11 @@
     """Guards against a node that is killed for its memory, with all requests that it has in hand (review/8)."""
 
     async def scenario() -> None:
-        platform, ends = Platform(), Counter[str]()
+        platform, ends = Platform(), Counter[int]()
         await platform.listen()
         for zone in ("east", "west"):
             for service in ("finder", "booker"):
                 documents = DocumentServer(service, zone, slots=64, queue=64, work_s=0.02)
-                documents.chunked = chunked
                 await documents.listen()
                 platform.servers.append(documents)
         document = demo_configuration()
@@ -178,19 +134,22 @@
             machine = system.fronts[0]
             await system.ready(machine)
             for burst in range(2):
-                reads = [call(machine, read_message(f"r{burst}-{number}"), take) for number in range(READERS)]
-                books = [call(machine, book_message(f"b{burst}-{number}"), quick) for number in range(BOOKERS)]
-                results = await asyncio.gather(*books, *reads)
-                assert [status for status, _ in results[:BOOKERS]] == ["200"] * BOOKERS
-                ends.update(status for status, _ in results[BOOKERS:])
+                messages = [read_message(f"r{burst}-{number}", BODY_BYTES, chunked) for number in range(READERS)]
+                books = [book_message(f"b{burst}-{number}") for number in range(BOOKERS)]
+                readings = await asyncio.gather(
+                    *(read_response(machine, message, quick) for message in books),
+                    *(read_response(machine, message, take) for message in messages),
+                )
+                assert [reading.status for reading in readings[:BOOKERS]] == [200] * BOOKERS
+                ends.update(reading.status for reading in readings[BOOKERS:])
                 if take is not leaving:
-                    assert {size for status, size in results[BOOKERS:] if status == "200"} == {BODY_BYTES}
+                    assert {reading.size for reading in readings[BOOKERS:] if reading.status == 200} == {BODY_BYTES}
             peak_mb = memory_mb(machine, "VmHWM")
             print(f"{peak_mb:.0f} MB at most; reads {dict(ends)}")
             assert peak_mb < MEMORY_MB
             # Where clients are slow, the node may refuse reads that would wait too long for memory.
-            assert set(ends) <= ({"200", "503"} if take is slow else {"200"})
-            assert ends.total() == 2 * READERS and ends["200"] >= READERS
+            assert set(ends) <= ({200, 503} if take is slow else {200})
+            assert ends.total() == 2 * READERS and ends[200] >= READERS
         for server in platform.servers:
             server.close()
         platform.close()
