Draw each round of the soak by itself, and wait for each machine in its check

The draws of all rounds came from one source, which concurrent parts used in an order that depended on delays: one seed played different rounds twice. Each round has its own source now, the checks another one, and the check waits until each machine answers.

--- a/lab/soak/outages.py
+++ b/lab/soak/outages.py
@@ -14,6 +14,7 @@
 
 import cbor2
 
+from cypressbeam.node.state_query import STATE_PATH
 from cypressbeam.protocol.settings_keys import SETTINGS_KEYS, SettingsKey, ValueKind
 from lab.local_cluster import HOST, demo_configuration, push
 from lab.soak.documents import DocumentServer, Reading, read_message, read_response
@@ -71,7 +72,11 @@
     """One soak by rounds."""
 
     def __init__(self, seed: int, rounds: int, edges: int = 3) -> None:
-        self.rng = random.Random(f"outages {seed}")
+        self.seed = seed
+        self.rng = random.Random()
+        """Draws what a round plays; each round has its own, so that delays do not change what later rounds play."""
+        self.check_rng = random.Random(seed)
+        """Draws the machines that the checks ask."""
         self.rounds = rounds
         self.edges = edges
         self.report = OutageReport(seed)
@@ -112,10 +117,9 @@
             self.kill_group,
             self.read_documents,
         ]
-        played = await self.disturb_first_start()
         for number in range(self.rounds + 1):
-            if number:
-                played = await self.rng.choice(series)()
+            self.rng = random.Random(f"outages {self.seed} {number}")
+            played = await (self.rng.choice(series)() if number else self.disturb_first_start())
             self.report.rounds.append(played)
             await self.check_all(played)
             if self.report.findings:
@@ -126,14 +130,15 @@
     async def disturb_first_start(self) -> str:
         """Kill one or two machines during the first start."""
         victims = self.rng.sample(self.system.machines, self.rng.choice([1, 1, 2]))
-        await asyncio.gather(*(self.restart(machine, self.rng.uniform(*FIRST_KILL_S)) for machine in victims))
+        delays_s = [(self.rng.uniform(*FIRST_KILL_S), self.rng.uniform(*DOWN_S)) for _ in victims]
+        await asyncio.gather(*(self.restart(victim, *delays) for victim, delays in zip(victims, delays_s, strict=True)))
         return f"first start without {' '.join(machine.name for machine in victims)} for a moment"
 
-    async def restart(self, machine: Machine, delay_s: float) -> None:
+    async def restart(self, machine: Machine, delay_s: float, down_s: float) -> None:
         """Kill a machine after a delay and start it again."""
         await asyncio.sleep(delay_s)
         await self.system.kill(machine)
-        await asyncio.sleep(self.rng.uniform(*DOWN_S))
+        await asyncio.sleep(down_s)
         await self.system.start(machine)
 
     async def change_settings(self) -> str:
@@ -180,14 +185,16 @@
                 ("all core machines", [machine for machine in self.system.machines if machine.core]),
             ]
         )
+        down_s = self.rng.uniform(*DOWN_S)
+        delays_s = [self.rng.uniform(0.0, START_SPREAD_S) for _ in members]
         await asyncio.gather(*(self.system.kill(machine) for machine in members))
-        await asyncio.sleep(self.rng.uniform(*DOWN_S))
-        await asyncio.gather(*(self.start_late(machine) for machine in members))
+        await asyncio.sleep(down_s)
+        await asyncio.gather(*map(self.start_late, members, delays_s))
         return f"{name} killed"
 
-    async def start_late(self, machine: Machine) -> None:
-        """Start a machine within the spread."""
-        await asyncio.sleep(self.rng.uniform(0.0, START_SPREAD_S))
+    async def start_late(self, machine: Machine, delay_s: float) -> None:
+        """Start a machine after a delay."""
+        await asyncio.sleep(delay_s)
         await self.system.start(machine)
 
     async def read_documents(self) -> str:
@@ -228,6 +235,8 @@
             if not await self.is_serving(machine, until_s):
                 self.report.findings.append(f"after {played}: {machine.name} does not serve")
         for machine in self.system.machines:
+            while await status_of(machine.control, STATE_PATH.decode()) != 200 and self.loop.time() < until_s:
+                await asyncio.sleep(0.1)
             if machine.process is None or machine.process.returncode is not None:
                 self.report.findings.append(f"after {played}: {machine.name} ended by itself")
             self.report.peak_mb = max(self.report.peak_mb, peak_memory_mb(machine))
@@ -242,7 +251,7 @@
         while self.loop.time() < until_s:
             try:
                 async with asyncio.timeout(2.0):
-                    status, _ = await push(self.rng.choice(self.system.machines), body, self.revision)
+                    status, _ = await push(self.check_rng.choice(self.system.machines), body, self.revision)
             except (OSError, EOFError, TimeoutError):
                 status = 0
             if status == 200:
