--- a/lab/soak/outages.py
+++ b/lab/soak/outages.py
@@ -113,8 +113,10 @@
         """Play the first start and the rounds."""
         series: list[Callable[[], Awaitable[str]]] = [
             self.change_settings,
-            self.move_platform,
+            self.change_settings,
             self.kill_group,
+            self.kill_group,
+            self.move_platform,
             self.read_documents,
         ]
         for number in range(self.rounds + 1):
@@ -143,8 +145,10 @@
 
     async def change_settings(self) -> str:
         """Write new files for some machines: other seeds, other figures; with or without a signal."""
-        seeds = self.rng.sample(self.system.machines, 3)
-        changed = self.rng.sample(self.system.machines, self.rng.randint(1, len(self.system.machines)))
+        cores = [machine for machine in self.system.machines if machine.core]
+        seeds = self.rng.sample(self.rng.choice([self.system.machines, self.system.fronts, cores]), 3)
+        some = self.rng.sample(self.system.machines, self.rng.randint(1, len(self.system.machines)))
+        changed = self.rng.choice([some, self.system.fronts, self.system.machines])
         signals = self.rng.random() < 0.5
         for machine in changed:
             machine.seeds = ",".join(f"{seed.ip}:{CONTROL}" for seed in seeds)
